--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# A thin front on CMake. `make help` lists the targets.
+BUILD ?= build
+TYPE ?= RelWithDebInfo
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v 'pb-c')
+
+all: ## build everything
+	@cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=$(TYPE) -DSANITIZE=$(SANITIZE) >$(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
+	@rm -f $(BUILD).log
+	@cmake --build $(BUILD) -j $(JOBS)
+
+deps: ## install what the build needs (Debian, as root)
+	./.ci/deps
+
+test: all ## build and run every test
+	./test/run $(BUILD)
+
+demo: ## install, build, run one deployment in small and judge it
+	@./.ci/deps >/dev/null
+	@$(MAKE) --no-print-directory all
+	./demo/run $(BUILD)
+
+bench: all ## measure
+	./bench/run $(BUILD)
+
+lint: all ## clang-tidy, cppcheck and the project's own checks
+	./.ci/lint $(BUILD)
+
+format: ## format every source file
+	clang-format -i $(SOURCES)
+
+check-format: ## fail if a source file is not formatted
+	clang-format --dry-run -Werror $(SOURCES)
+
+asan: ## build and test with the address and undefined sanitizers
+	$(MAKE) all BUILD=build-asan TYPE=Debug SANITIZE=address,undefined
+	./test/run build-asan
+
+tsan: ## build and test with the thread sanitizer
+	$(MAKE) all BUILD=build-tsan TYPE=Debug SANITIZE=thread
+	./test/run build-tsan
+
+clean: ## remove what was built
+	rm -rf build build-asan build-tsan demo/out
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/' | expand -t 16
+
+.PHONY: all deps test demo bench lint format check-format asan tsan clean help
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,134 @@
+#include "base/log.h"
+
+#include <log4c.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ring.h"
+
+#define RING_SLOTS 16384
+#define LINE_BYTES_MAX 500
+#define IDLE_WAIT_MS 200
+
+struct line {
+	enum log_level level;
+	char text[LINE_BYTES_MAX];
+};
+
+static const int priorities[] = {
+	LOG4C_PRIORITY_ERROR,
+	LOG4C_PRIORITY_WARN,
+	LOG4C_PRIORITY_INFO,
+	LOG4C_PRIORITY_DEBUG,
+};
+
+static const char *const level_names[] = { "error", "warn", "info", "debug" };
+
+static struct ring *lines;
+static pthread_t writer;
+static log4c_category_t *category;
+static enum log_level level_max = LOG_LEVEL_WARN;
+static atomic_bool stopping;
+static atomic_uint_fast64_t dropped;
+
+int log_level_from_name(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(level_names); i++)
+		if (!strcmp(name, level_names[i]))
+			return (int)i;
+	return -1;
+}
+
+static void *write_lines(void *context)
+{
+	struct line *line;
+
+	(void)context;
+	for (;;) {
+		line = ring_pop(lines, IDLE_WAIT_MS);
+		if (line) {
+			log4c_category_log(category, priorities[line->level],
+					   "%s", line->text);
+			free(line);
+			continue;
+		}
+		if (stopping && !ring_size(lines))
+			break;
+	}
+	return NULL;
+}
+
+int log_open(enum log_level level)
+{
+	log4c_appender_t *appender;
+
+	if (log4c_init())
+		fprintf(stderr, "log: configuration file was not read\n");
+	category = log4c_category_get("auburnreach");
+	appender = log4c_appender_get("stderr");
+	log4c_appender_set_layout(appender, log4c_layout_get("dated_r"));
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_priority(category, priorities[level]);
+	level_max = level;
+	stopping = false;
+	lines = ring_new(RING_SLOTS);
+	if (!lines)
+		return -1;
+	if (pthread_create(&writer, NULL, write_lines, NULL)) {
+		ring_free(lines);
+		lines = NULL;
+		return -1;
+	}
+	return 0;
+}
+
+void log_close(void)
+{
+	if (!lines)
+		return;
+	stopping = true;
+	pthread_join(writer, NULL);
+	if (dropped)
+		fprintf(stderr, "log: lines were dropped count=%llu\n",
+			(unsigned long long)dropped);
+	ring_free(lines);
+	lines = NULL;
+	log4c_fini();
+}
+
+void log_line(enum log_level level, const char *part, const char *format, ...)
+{
+	struct line *line;
+	va_list args;
+	int used;
+
+	if (level > level_max || !lines)
+		return;
+	line = malloc(sizeof(*line));
+	if (!line) {
+		dropped++;
+		return;
+	}
+	line->level = level;
+	used = snprintf(line->text, sizeof(line->text), "%s: ", part);
+	va_start(args, format);
+	vsnprintf(line->text + used, sizeof(line->text) - (size_t)used, format,
+		  args);
+	va_end(args);
+	if (!ring_push(lines, line)) {
+		dropped++;
+		free(line);
+	}
+}
+
+uint64_t log_dropped(void)
+{
+	return dropped;
+}
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,56 @@
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
+
+#include <stdint.h>
+
+#include "base/attributes.h"
+
+/**
+ * @file
+ * The log: one line an event, written by a thread of its own.
+ *
+ * A line is "part: short sentence key=value ...". A caller never waits for the
+ * log: when the writer cannot keep up, lines are dropped and counted.
+ */
+
+enum log_level {
+	LOG_LEVEL_ERROR,
+	LOG_LEVEL_WARN,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_DEBUG,
+};
+
+/**
+ * Opens the log on standard error and starts the writer thread.
+ *
+ * @param level lines above this level are discarded.
+ * @return 0, or -1 when the writer cannot be started.
+ */
+int log_open(enum log_level level);
+
+/** Writes what is queued, stops the writer and closes the log. */
+void log_close(void);
+
+/**
+ * @param name "error", "warn", "info" or "debug".
+ * @return the level, or -1 for another name.
+ */
+int log_level_from_name(const char *name);
+
+/**
+ * Queues one line. Any thread; never blocks.
+ *
+ * @param part fixed prefix of the part that speaks, such as "steer".
+ */
+void log_line(enum log_level level, const char *part, const char *format, ...)
+	PRINTF_LIKE(3, 4);
+
+/** @return the number of lines dropped since log_open(). Any thread. */
+uint64_t log_dropped(void);
+
+#define log_error(part, ...) log_line(LOG_LEVEL_ERROR, part, __VA_ARGS__)
+#define log_warn(part, ...) log_line(LOG_LEVEL_WARN, part, __VA_ARGS__)
+#define log_info(part, ...) log_line(LOG_LEVEL_INFO, part, __VA_ARGS__)
+#define log_debug(part, ...) log_line(LOG_LEVEL_DEBUG, part, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/src/base/shape.c
@@ -0,0 +1,541 @@
+#include "base/shape.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ERRORS_SHOWN_MAX 100
+#define FILE_BYTES_MAX (1024 * 1024)
+#define ADDRESS_BYTES_MAX 64
+#define LIST_ITEM_BYTES_MAX 64
+#define PATH_BYTES_MAX 256
+
+struct shape_errors shape_errors_new(void)
+{
+	struct shape_errors errors = { g_string_new(NULL), 0 };
+
+	return errors;
+}
+
+void shape_errors_clear(struct shape_errors *errors)
+{
+	if (errors->text)
+		g_string_free(errors->text, TRUE);
+	errors->text = NULL;
+	errors->count = 0;
+}
+
+void shape_error(struct shape_errors *errors, const char *path,
+		 const char *format, ...)
+{
+	va_list args;
+
+	if (++errors->count > ERRORS_SHOWN_MAX)
+		return;
+	g_string_append_printf(errors->text, "%s: ", path);
+	va_start(args, format);
+	g_string_append_vprintf(errors->text, format, args);
+	va_end(args);
+	g_string_append_c(errors->text, '\n');
+}
+
+bool shape_is_address(const char *text)
+{
+	unsigned char binary[sizeof(struct in6_addr)];
+	char host[ADDRESS_BYTES_MAX];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	size_t host_bytes;
+	long port;
+
+	if (!colon || colon == text || !colon[1])
+		return false;
+	port = strtol(colon + 1, &end, 10);
+	if (*end || port < 1 || port > 65535)
+		return false;
+	host_bytes = (size_t)(colon - text);
+	if (host_bytes >= sizeof(host))
+		return false;
+	memcpy(host, text, host_bytes);
+	host[host_bytes] = '\0';
+	if (host[0] == '[' && host[host_bytes - 1] == ']') {
+		host[host_bytes - 1] = '\0';
+		return inet_pton(AF_INET6, host + 1, binary) == 1;
+	}
+	return inet_pton(AF_INET, host, binary) == 1;
+}
+
+static bool is_name(const char *text)
+{
+	return text[0] && strspn(text, "abcdefghijklmnopqrstuvwxyz"
+				       "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				       "0123456789-_.") == strlen(text);
+}
+
+static char **string_at(void *object, const struct field *field)
+{
+	return (char **)((char *)object + field->offset);
+}
+
+static uint32_t *count_at(void *object, const struct field *field)
+{
+	return (uint32_t *)((char *)object + field->count_offset);
+}
+
+static void *list_at(void *object, const struct field *field)
+{
+	void *list;
+
+	memcpy(&list, (char *)object + field->offset, sizeof(list));
+	return list;
+}
+
+static void set_list(void *object, const struct field *field, void *list)
+{
+	memcpy((char *)object + field->offset, &list, sizeof(list));
+}
+
+static void set_number(void *object, const struct field *field, uint64_t number)
+{
+	char *place = (char *)object + field->offset;
+
+	if (field->kind == FIELD_U32)
+		*(uint32_t *)place = (uint32_t)number;
+	else if (field->kind == FIELD_U64)
+		*(uint64_t *)place = number;
+	else
+		*(bool *)place = number != 0;
+}
+
+static uint64_t number_at(const void *object, const struct field *field)
+{
+	const char *place = (const char *)object + field->offset;
+
+	if (field->kind == FIELD_U32)
+		return *(const uint32_t *)place;
+	if (field->kind == FIELD_U64)
+		return *(const uint64_t *)place;
+	return *(const bool *)place;
+}
+
+static bool is_list(const struct field *field)
+{
+	return field->kind == FIELD_NAMES || field->kind == FIELD_ADDRESSES ||
+	       field->kind == FIELD_OBJECTS;
+}
+
+/** A list's `min` and `max` bound its count; each item has its own bounds. */
+static bool length_allowed(const struct field *field, size_t bytes,
+			   const char *path, struct shape_errors *errors)
+{
+	uint64_t min = is_list(field) ? 1 : field->min;
+	uint64_t max = is_list(field) ? LIST_ITEM_BYTES_MAX : field->max;
+
+	if (bytes >= min && bytes <= max)
+		return true;
+	shape_error(errors, path,
+		    "has %zu bytes; allowed are %" PRIu64 " to %" PRIu64, bytes,
+		    min, max);
+	return false;
+}
+
+static char *read_string(const struct field *field, json_t *value,
+			 const char *path, struct shape_errors *errors)
+{
+	const char *text = json_string_value(value);
+
+	if (!text) {
+		shape_error(errors, path, "must be a string");
+		return NULL;
+	}
+	if (json_string_length(value) != strlen(text)) {
+		shape_error(errors, path, "must not hold a zero byte");
+		return NULL;
+	}
+	if (!length_allowed(field, strlen(text), path, errors))
+		return NULL;
+	if ((field->kind == FIELD_NAME || field->kind == FIELD_NAMES) &&
+	    *text && !is_name(text)) {
+		shape_error(errors, path,
+			    "\"%.64s\" is not a name; use letters, digits, "
+			    "\"-\", \"_\" and \".\"",
+			    text);
+		return NULL;
+	}
+	if ((field->kind == FIELD_ADDRESS || field->kind == FIELD_ADDRESSES) &&
+	    *text && !shape_is_address(text)) {
+		shape_error(errors, path,
+			    "\"%.64s\" is not an address; write IP:port, such "
+			    "as 10.0.0.1:8080",
+			    text);
+		return NULL;
+	}
+	return strdup(text);
+}
+
+static void read_number(const struct field *field, json_t *value,
+			const char *path, void *out,
+			struct shape_errors *errors)
+{
+	json_int_t number = json_integer_value(value);
+
+	if (!json_is_integer(value)) {
+		shape_error(errors, path, "must be a whole number");
+	} else if (number < 0 || (uint64_t)number < field->min ||
+		   (uint64_t)number > field->max) {
+		shape_error(errors, path,
+			    "%" JSON_INTEGER_FORMAT
+			    " is out of range; allowed are %" PRIu64
+			    " to %" PRIu64,
+			    number, field->min, field->max);
+	} else {
+		set_number(out, field, (uint64_t)number);
+	}
+}
+
+static void read_list(const struct field *field, json_t *value,
+		      const char *path, void *out, struct shape_errors *errors)
+{
+	size_t size = field->shape ? field->shape->size : sizeof(char *);
+	char item_path[PATH_BYTES_MAX + 24];
+	char *list;
+	size_t i;
+
+	if (!json_is_array(value)) {
+		shape_error(errors, path, "must be a list");
+		return;
+	}
+	if (json_array_size(value) < field->min ||
+	    json_array_size(value) > field->max) {
+		shape_error(errors, path,
+			    "has %zu items; allowed are %" PRIu64
+			    " to %" PRIu64,
+			    json_array_size(value), field->min, field->max);
+		return;
+	}
+	if (!json_array_size(value))
+		return;
+	list = calloc(json_array_size(value), size);
+	if (!list) {
+		shape_error(errors, path, "no memory is left");
+		return;
+	}
+	set_list(out, field, list);
+	*count_at(out, field) = (uint32_t)json_array_size(value);
+	for (i = 0; i < json_array_size(value); i++) {
+		json_t *item = json_array_get(value, i);
+
+		snprintf(item_path, sizeof(item_path), "%s[%zu]", path, i);
+		if (field->shape)
+			shape_read(field->shape, item, item_path,
+				   list + i * size, errors);
+		else
+			((char **)list)[i] =
+				read_string(field, item, item_path, errors);
+	}
+}
+
+static void read_field(const struct field *field, json_t *value,
+		       const char *path, void *out, struct shape_errors *errors)
+{
+	switch (field->kind) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+	case FIELD_ADDRESS:
+		*string_at(out, field) =
+			read_string(field, value, path, errors);
+		break;
+	case FIELD_U32:
+	case FIELD_U64:
+		read_number(field, value, path, out, errors);
+		break;
+	case FIELD_BOOL:
+		if (!json_is_boolean(value))
+			shape_error(errors, path, "must be true or false");
+		else
+			set_number(out, field, json_is_true(value));
+		break;
+	case FIELD_NAMES:
+	case FIELD_ADDRESSES:
+	case FIELD_OBJECTS:
+		read_list(field, value, path, out, errors);
+		break;
+	}
+}
+
+static void use_fallback(const struct field *field, const char *path, void *out,
+			 struct shape_errors *errors)
+{
+	if (field->required) {
+		shape_error(errors, path, "is missing; add it (%s)",
+			    field->help);
+		return;
+	}
+	switch (field->kind) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+	case FIELD_ADDRESS:
+		*string_at(out, field) = strdup("");
+		break;
+	case FIELD_U32:
+	case FIELD_U64:
+	case FIELD_BOOL:
+		set_number(out, field, field->fallback);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct field *find_field(const struct shape *shape,
+				      const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++)
+		if (!strcmp(shape->fields[i].key, key))
+			return &shape->fields[i];
+	return NULL;
+}
+
+bool shape_read(const struct shape *shape, json_t *value, const char *path,
+		void *out, struct shape_errors *errors)
+{
+	uint32_t before = errors->count;
+	char field_path[PATH_BYTES_MAX];
+	const char *dot = *path ? "." : "";
+	const char *key;
+	json_t *item;
+	size_t i;
+
+	if (!json_is_object(value)) {
+		shape_error(errors, *path ? path : "(top)",
+			    "must be an object");
+		return false;
+	}
+	json_object_foreach (value, key, item) {
+		if (find_field(shape, key))
+			continue;
+		snprintf(field_path, sizeof(field_path), "%s%s%.64s", path, dot,
+			 key);
+		shape_error(errors, field_path,
+			    "is not a known key; remove or correct it");
+	}
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		snprintf(field_path, sizeof(field_path), "%s%s%s", path, dot,
+			 field->key);
+		item = json_object_get(value, field->key);
+		if (item)
+			read_field(field, item, field_path, out, errors);
+		else
+			use_fallback(field, field_path, out, errors);
+	}
+	return errors->count == before;
+}
+
+static void clear_list(const struct field *field, void *object)
+{
+	uint32_t count = *count_at(object, field);
+	char *list = list_at(object, field);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (field->shape)
+			shape_clear(field->shape,
+				    list + i * field->shape->size);
+		else
+			free(((char **)list)[i]);
+	}
+	free(list);
+	set_list(object, field, NULL);
+	*count_at(object, field) = 0;
+}
+
+void shape_clear(const struct shape *shape, void *object)
+{
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		switch (field->kind) {
+		case FIELD_NAME:
+		case FIELD_TEXT:
+		case FIELD_ADDRESS:
+			free(*string_at(object, field));
+			*string_at(object, field) = NULL;
+			break;
+		case FIELD_NAMES:
+		case FIELD_OBJECTS:
+			clear_list(field, object);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+static json_t *write_list(const struct field *field, const void *object)
+{
+	uint32_t count = *count_at((void *)object, field);
+	const char *list = list_at((void *)object, field);
+	json_t *array = json_array();
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (field->shape)
+			json_array_append_new(
+				array,
+				shape_write(field->shape,
+					    list + i * field->shape->size));
+		else
+			json_array_append_new(
+				array,
+				json_string(((char *const *)list)[i]));
+	}
+	return array;
+}
+
+json_t *shape_write(const struct shape *shape, const void *object)
+{
+	json_t *value = json_object();
+	json_t *item;
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		switch (field->kind) {
+		case FIELD_NAME:
+		case FIELD_TEXT:
+		case FIELD_ADDRESS:
+			item = json_string(
+				*string_at((void *)object, field));
+			break;
+		case FIELD_U32:
+		case FIELD_U64:
+			item = json_integer(
+				(json_int_t)number_at(object, field));
+			break;
+		case FIELD_BOOL:
+			item = json_boolean(number_at(object, field));
+			break;
+		default:
+			item = write_list(field, object);
+			break;
+		}
+		json_object_set_new(value, field->key, item);
+	}
+	return value;
+}
+
+static json_t *schema_of_field(const struct field *field)
+{
+	json_int_t min = (json_int_t)field->min;
+	json_int_t max = (json_int_t)field->max;
+	json_t *items;
+
+	switch (field->kind) {
+	case FIELD_NAME:
+		return json_pack("{s:s,s:s,s:I,s:I}", "type", "string",
+				 "pattern", "^[A-Za-z0-9._-]*$", "minLength",
+				 min, "maxLength", max);
+	case FIELD_TEXT:
+	case FIELD_ADDRESS:
+		return json_pack("{s:s,s:I,s:I}", "type", "string", "minLength",
+				 min, "maxLength", max);
+	case FIELD_U32:
+	case FIELD_U64:
+		return json_pack("{s:s,s:I,s:I}", "type", "integer", "minimum",
+				 min, "maximum", max);
+	case FIELD_BOOL:
+		return json_pack("{s:s}", "type", "boolean");
+	case FIELD_ADDRESSES:
+		items = json_pack("{s:s}", "type", "string");
+		break;
+	case FIELD_NAMES:
+		items = json_pack("{s:s,s:s}", "type", "string", "pattern",
+				  "^[A-Za-z0-9._-]+$");
+		break;
+	default:
+		items = shape_schema(field->shape);
+		break;
+	}
+	return json_pack("{s:s,s:I,s:I,s:o}", "type", "array", "minItems", min,
+			 "maxItems", max, "items", items);
+}
+
+json_t *shape_schema(const struct shape *shape)
+{
+	json_t *properties = json_object();
+	json_t *required = json_array();
+	json_t *item;
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		item = schema_of_field(field);
+		json_object_set_new(item, "description",
+				    json_string(field->help));
+		if (!field->required && (field->kind == FIELD_U32 ||
+					 field->kind == FIELD_U64))
+			json_object_set_new(
+				item, "default",
+				json_integer((json_int_t)field->fallback));
+		json_object_set_new(properties, field->key, item);
+		if (field->required)
+			json_array_append_new(required,
+					      json_string(field->key));
+	}
+	return json_pack("{s:s,s:b,s:o,s:o}", "type", "object",
+			 "additionalProperties", 0, "required", required,
+			 "properties", properties);
+}
+
+json_t *shape_parse(const char *text, size_t text_bytes, size_t bytes_max,
+		    struct shape_errors *errors)
+{
+	json_error_t error;
+	json_t *value;
+
+	if (text_bytes > bytes_max) {
+		shape_error(errors, "(top)",
+			    "has %zu bytes; at most %zu are allowed",
+			    text_bytes, bytes_max);
+		return NULL;
+	}
+	value = json_loadb(text, text_bytes, JSON_REJECT_DUPLICATES, &error);
+	if (!value)
+		shape_error(errors, "(top)",
+			    "is not JSON at line %d, column %d: %s", error.line,
+			    error.column, error.text);
+	return value;
+}
+
+bool shape_read_file(const struct shape *shape, const char *file_name,
+		     void *out, struct shape_errors *errors)
+{
+	GError *error = NULL;
+	json_t *value;
+	char *text;
+	gsize text_bytes;
+	bool read = false;
+
+	if (!g_file_get_contents(file_name, &text, &text_bytes, &error)) {
+		shape_error(errors, file_name, "%s", error->message);
+		g_error_free(error);
+		return false;
+	}
+	value = shape_parse(text, text_bytes, FILE_BYTES_MAX, errors);
+	if (value)
+		read = shape_read(shape, value, "", out, errors);
+	json_decref(value);
+	g_free(text);
+	return read;
+}
--- /dev/null
+++ b/src/ctl/common.c
@@ -0,0 +1,54 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "ctl/ctl_defs.h"
+#include "http/http_client.h"
+
+#define ENTRY_TIMEOUT_MS 3000
+#define ANSWER_BYTES_MAX (16 * 1024 * 1024)
+
+enum ctl_exit ctl_fail(enum ctl_exit code, const char *format, ...)
+{
+	va_list args;
+
+	fprintf(stderr, CTL_PROGRAM ": ");
+	va_start(args, format);
+	vfprintf(stderr, format, args);
+	va_end(args);
+	fprintf(stderr, "\n");
+	return code;
+}
+
+void ctl_print_json(json_t *value)
+{
+	json_dumpf(value, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
+	printf("\n");
+	json_decref(value);
+}
+
+json_t *ctl_ask_entry(struct ctl *ctl, const char *path, bool quiet)
+{
+	struct http_request request = {
+		.method = "GET",
+		.path = path,
+		.answer_bytes_max = ANSWER_BYTES_MAX,
+		.deadline_ns = clock_now_ns(&clock_system) +
+			       ENTRY_TIMEOUT_MS * NS_PER_MS,
+	};
+	struct http_connection *connection =
+		http_connect(ctl->entry, request.deadline_ns);
+	struct http_answer answer = { 0 };
+	json_t *value = NULL;
+
+	if (connection &&
+	    http_exchange(connection, &request, &answer) == HTTP_WHOLE)
+		value = json_loadb(answer.body ? answer.body : "",
+				   answer.body_bytes, 0, NULL);
+	if (!value && !quiet)
+		ctl_fail(CTL_FAILED, "entry VM %s does not answer", ctl->entry);
+	http_answer_clear(&answer);
+	http_close(connection);
+	return value;
+}
--- /dev/null
+++ b/src/decide/orders.c
@@ -0,0 +1,239 @@
+#include "decide/orders.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define KEY_SEPARATOR '~'
+#define ANSWER_BYTES_MAX (64 * 1024)
+
+struct orders {
+	GHashTable *by_key;
+	uint32_t count_max;
+	uint64_t answer_bytes_max;
+	uint64_t answer_bytes;
+};
+
+static void drop_answer(struct orders *orders, struct order *order)
+{
+	orders->answer_bytes -= order->answer.body ?
+					order->answer.body_bytes :
+					0;
+	free(order->answer.body);
+	free(order->answer.content_type);
+	order->answer.body = NULL;
+	order->answer.content_type = NULL;
+}
+
+struct orders *orders_new(uint32_t count_max, uint64_t answer_bytes_max)
+{
+	struct orders *orders = calloc(1, sizeof(*orders));
+
+	if (!orders)
+		return NULL;
+	orders->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	orders->count_max = count_max;
+	orders->answer_bytes_max = answer_bytes_max;
+	return orders;
+}
+
+static gboolean drop_order(gpointer key, gpointer value, gpointer context)
+{
+	struct order *order = value;
+
+	(void)key;
+	drop_answer(context, order);
+	free(order);
+	return TRUE;
+}
+
+void orders_free(struct orders *orders)
+{
+	if (!orders)
+		return;
+	g_hash_table_foreach_remove(orders->by_key, drop_order, orders);
+	g_hash_table_destroy(orders->by_key);
+	free(orders);
+}
+
+static struct order *find(const struct orders *orders, const char *key)
+{
+	return g_hash_table_lookup(orders->by_key, key);
+}
+
+const struct order *orders_find(const struct orders *orders, const char *key)
+{
+	return find(orders, key);
+}
+
+/** An order in progress never expires. */
+static bool is_expired(const struct order *order, int64_t now_ms)
+{
+	return (order->finished || order->idle) && order->expires_ms <= now_ms;
+}
+
+enum order_step orders_begin(struct orders *orders, const char *key,
+			     uint64_t digest, int64_t now_ms,
+			     struct order **order)
+{
+	struct order *entry = find(orders, key);
+
+	*order = entry;
+	if (entry && is_expired(entry, now_ms)) {
+		g_hash_table_remove(orders->by_key, key);
+		drop_order(NULL, entry, orders);
+		entry = NULL;
+	}
+	if (entry && entry->digest != digest)
+		return ORDER_KEY_REUSED;
+	if (entry && entry->idle) {
+		entry->idle = false;
+		return ORDER_START;
+	}
+	if (entry)
+		return entry->finished ? ORDER_REPLAY : ORDER_JOIN;
+	if (orders_count(orders) >= orders->count_max)
+		return ORDER_TABLE_FULL;
+	entry = calloc(1, sizeof(*entry));
+	if (!entry)
+		return ORDER_TABLE_FULL;
+	snprintf(entry->key, sizeof(entry->key), "%s", key);
+	entry->digest = digest;
+	g_hash_table_insert(orders->by_key, entry->key, entry);
+	*order = entry;
+	return ORDER_START;
+}
+
+static void keep_answer(struct orders *orders, struct order *order,
+			const struct order_answer *answer)
+{
+	order->answer = *answer;
+	order->answer.content_type =
+		answer->content_type ? strdup(answer->content_type) : NULL;
+	order->answer.body = NULL;
+	if (!answer->body || answer->body_bytes > ANSWER_BYTES_MAX ||
+	    orders->answer_bytes + answer->body_bytes >
+		    orders->answer_bytes_max)
+		return;
+	order->answer.body = malloc(answer->body_bytes + 1);
+	if (!order->answer.body)
+		return;
+	memcpy(order->answer.body, answer->body, answer->body_bytes);
+	order->answer.body[answer->body_bytes] = '\0';
+	orders->answer_bytes += answer->body_bytes;
+}
+
+void orders_finish(struct orders *orders, const char *key,
+		   const struct order_answer *answer, int64_t memory_ms,
+		   int64_t now_ms)
+{
+	struct order *order = find(orders, key);
+
+	if (!order || order->finished)
+		return;
+	order->expires_ms = now_ms + memory_ms;
+	if (answer->verdict == VERDICT_NOT_RUN) {
+		order->idle = true;
+		return;
+	}
+	order->finished = true;
+	keep_answer(orders, order, answer);
+}
+
+void orders_forget(struct orders *orders, const char *key)
+{
+	struct order *order = find(orders, key);
+
+	if (!order)
+		return;
+	g_hash_table_remove(orders->by_key, key);
+	drop_order(NULL, order, orders);
+}
+
+struct expiry {
+	struct orders *orders;
+	int64_t now_ms;
+};
+
+static gboolean drop_expired(gpointer key, gpointer value, gpointer context)
+{
+	const struct expiry *expiry = context;
+	struct order *order = value;
+
+	if (!is_expired(order, expiry->now_ms))
+		return FALSE;
+	return drop_order(key, value, expiry->orders);
+}
+
+uint32_t orders_expire(struct orders *orders, int64_t now_ms)
+{
+	struct expiry expiry = { orders, now_ms };
+
+	return g_hash_table_foreach_remove(orders->by_key, drop_expired,
+					   &expiry);
+}
+
+uint32_t orders_count(const struct orders *orders)
+{
+	return g_hash_table_size(orders->by_key);
+}
+
+void order_key_prefix(const struct order_key *parts, char *text,
+		      size_t text_bytes)
+{
+	snprintf(text, text_bytes, "%s~%" PRIx64 "~%c~%" PRIx64 "~",
+		 parts->home, parts->incarnation, parts->claimed ? 'c' : 'u',
+		 (uint64_t)parts->issued_unix_s);
+}
+
+/** Reads a hexadecimal number that the separator ends. */
+static bool parse_hex(const char **at, uint64_t *number)
+{
+	char *end;
+
+	if (!g_ascii_isxdigit(**at))
+		return false;
+	*number = g_ascii_strtoull(*at, &end, 16);
+	if (*end != KEY_SEPARATOR || end - *at > 16)
+		return false;
+	*at = end + 1;
+	return true;
+}
+
+bool order_key_parse(const char *key, struct order_key *parts)
+{
+	const char *at = strchr(key, KEY_SEPARATOR);
+	size_t home_bytes;
+	uint64_t issued;
+
+	if (!at || at == key)
+		return false;
+	home_bytes = (size_t)(at - key);
+	if (home_bytes >= sizeof(parts->home))
+		return false;
+	memcpy(parts->home, key, home_bytes);
+	parts->home[home_bytes] = '\0';
+	at++;
+	if (!parse_hex(&at, &parts->incarnation))
+		return false;
+	if ((*at != 'c' && *at != 'u') || at[1] != KEY_SEPARATOR)
+		return false;
+	parts->claimed = *at == 'c';
+	at += 2;
+	if (!parse_hex(&at, &issued) || issued > INT64_MAX / 1000)
+		return false;
+	parts->issued_unix_s = (int64_t)issued;
+	return *at != '\0';
+}
+
+uint64_t order_digest(const char *method, const char *path, const char *body,
+		      size_t body_bytes)
+{
+	XXH64_hash_t hash = XXH64(method, strlen(method), 0);
+
+	hash = XXH64(path, strlen(path), hash);
+	return XXH64(body ? body : "", body_bytes, hash);
+}
--- /dev/null
+++ b/src/document/current.c
@@ -0,0 +1,140 @@
+#include "document/current.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+
+struct current {
+	pthread_mutex_t lock; /* of `held` and every reference count */
+	struct current_document *held;
+	pthread_mutex_t apply_lock; /* one document is applied at a time */
+	current_applied_fn applied;
+	void *context;
+};
+
+static pthread_mutex_t reference_lock = PTHREAD_MUTEX_INITIALIZER;
+
+struct current *current_new(current_applied_fn applied, void *context)
+{
+	struct current *current = calloc(1, sizeof(*current));
+
+	if (!current)
+		return NULL;
+	pthread_mutex_init(&current->lock, NULL);
+	pthread_mutex_init(&current->apply_lock, NULL);
+	current->applied = applied;
+	current->context = context;
+	return current;
+}
+
+void current_release(struct current_document *held)
+{
+	uint32_t left;
+
+	if (!held)
+		return;
+	pthread_mutex_lock(&reference_lock);
+	left = --held->references;
+	pthread_mutex_unlock(&reference_lock);
+	if (left)
+		return;
+	document_free(held->doc);
+	g_free(held->text);
+	free(held);
+}
+
+void current_free(struct current *current)
+{
+	if (!current)
+		return;
+	current_release(current->held);
+	pthread_mutex_destroy(&current->lock);
+	pthread_mutex_destroy(&current->apply_lock);
+	free(current);
+}
+
+struct current_document *current_get(struct current *current)
+{
+	struct current_document *held;
+
+	pthread_mutex_lock(&current->lock);
+	held = current->held;
+	if (held) {
+		pthread_mutex_lock(&reference_lock);
+		held->references++;
+		pthread_mutex_unlock(&reference_lock);
+	}
+	pthread_mutex_unlock(&current->lock);
+	return held;
+}
+
+uint64_t current_version(struct current *current)
+{
+	uint64_t version;
+
+	pthread_mutex_lock(&current->lock);
+	version = current->held ? current->held->doc->version : 0;
+	pthread_mutex_unlock(&current->lock);
+	return version;
+}
+
+static struct current_document *make(const char *text, uint32_t text_bytes,
+				     const char *source)
+{
+	struct shape_errors errors = shape_errors_new();
+	struct document *doc = document_parse(text, text_bytes, &errors);
+	struct current_document *made = NULL;
+
+	if (!doc) {
+		counter_add(COUNTER_DOCUMENTS_REFUSED, 1);
+		log_warn("document", "refused source=%s errors=%u first=\"%s\"",
+			 source, errors.count, errors.text->str);
+		goto out;
+	}
+	made = calloc(1, sizeof(*made));
+	if (!made) {
+		document_free(doc);
+		goto out;
+	}
+	made->doc = doc;
+	made->text = g_strndup(text, text_bytes);
+	made->text_bytes = text_bytes;
+	made->references = 1;
+out:
+	shape_errors_clear(&errors);
+	return made;
+}
+
+enum current_result current_offer(struct current *current, const char *text,
+				  uint32_t text_bytes, const char *source)
+{
+	struct current_document *offered = make(text, text_bytes, source);
+	struct current_document *old;
+
+	if (!offered)
+		return CURRENT_INVALID;
+	pthread_mutex_lock(&current->apply_lock);
+	if (offered->doc->version <= current_version(current)) {
+		pthread_mutex_unlock(&current->apply_lock);
+		current_release(offered);
+		return CURRENT_OLD;
+	}
+	pthread_mutex_lock(&current->lock);
+	old = current->held;
+	current->held = offered;
+	pthread_mutex_unlock(&current->lock);
+	gauge_set(GAUGE_DOCUMENT_VERSION, (int64_t)offered->doc->version);
+	counter_add(COUNTER_DOCUMENTS_APPLIED, 1);
+	log_info("document",
+		 "in force version=%" PRIu64 " source=%s author=\"%s\"",
+		 offered->doc->version, source, offered->doc->author);
+	if (current->applied)
+		current->applied(current->context, offered->doc);
+	pthread_mutex_unlock(&current->apply_lock);
+	current_release(old);
+	return CURRENT_APPLIED;
+}
--- /dev/null
+++ b/src/entry/admin.h
@@ -0,0 +1,16 @@
+#ifndef ENTRY_ADMIN_H
+#define ENTRY_ADMIN_H
+
+#include "entry/entry_defs.h"
+
+struct mg_context;
+
+/**
+ * @file
+ * What operators ask a daemon: health, metrics, status, reasons.
+ */
+
+/** Sets the handlers of /healthz, /readyz, /metrics and /v1/... */
+void admin_register(struct entry *entry, struct mg_context *server);
+
+#endif
--- /dev/null
+++ b/src/entry/lookup.c
@@ -0,0 +1,256 @@
+#include "entry/lookup.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "decide/rank.h"
+#include "entry/steering.h"
+#include "http/http_server.h"
+
+#define ENTRIES_ANSWERED 3
+#define BLOCK_BYTES 64
+#define IPV4_BLOCK_BITS 24
+#define IPV6_BLOCK_BITS 48
+#define KEY_PREFIX_BYTES 160
+#define RETRY_AFTER "Retry-After: 1\r\n"
+
+/** One look-up with what it rests on. */
+struct lookup {
+	struct entry *entry;
+	const struct document *doc;
+	const struct doc_service *service;
+	struct peer_view *view;
+	char block[BLOCK_BYTES];
+	const char *from;
+	int region;
+	uint32_t chosen[ENTRIES_ANSWERED];
+	uint32_t chosen_count;
+};
+
+/** Cuts an address to its block: /24 of IPv4, /48 of IPv6. */
+static void block_of(const char *address, char *block)
+{
+	unsigned char binary[16];
+	char text[INET6_ADDRSTRLEN];
+
+	if (inet_pton(AF_INET, address, binary) == 1) {
+		binary[3] = 0;
+		inet_ntop(AF_INET, binary, text, sizeof(text));
+		snprintf(block, BLOCK_BYTES, "%s/%d", text, IPV4_BLOCK_BITS);
+	} else if (inet_pton(AF_INET6, address, binary) == 1) {
+		memset(binary + 6, 0, 10);
+		inet_ntop(AF_INET6, binary, text, sizeof(text));
+		snprintf(block, BLOCK_BYTES, "%s/%d", text, IPV6_BLOCK_BITS);
+	} else {
+		snprintf(block, BLOCK_BYTES, "%.60s", address);
+	}
+}
+
+static bool is_offered(const struct document *doc, const struct member *member)
+{
+	return member->state == MEMBER_LIVE &&
+	       !(member->flags & MEMBER_LEAVING) &&
+	       !document_entry_leaving(doc, member->name);
+}
+
+/** Regions that have a backend server and an entry VM for the service. */
+static uint64_t usable_regions(const struct lookup *lookup)
+{
+	const struct document *doc = lookup->doc;
+	uint64_t with_entry = 0;
+	uint64_t with_server = 0;
+	struct backends_load load;
+	int region;
+	int own;
+	uint32_t i;
+
+	for (i = 0; i < lookup->view->member_count; i++) {
+		const struct member *member = &lookup->view->members[i];
+
+		region = document_region_of_domain(doc,
+						   member->failure_domain);
+		if (region >= 0 && is_offered(doc, member))
+			with_entry |= 1ULL << region;
+	}
+	for (i = 0; i < doc->backend_count; i++) {
+		const struct doc_backend *backend = &doc->backends[i];
+
+		if (backend->leaving ||
+		    strcmp(backend->service, lookup->service->name))
+			continue;
+		region = document_region_of_domain(doc,
+						   backend->failure_domain);
+		with_server |= 1ULL << region;
+	}
+	own = document_region_of_domain(
+		doc, lookup->entry->settings.failure_domain);
+	backends_load(lookup->entry->backends, lookup->service->name, &load);
+	if (own >= 0 && !load.usable_slots)
+		with_server &= ~(1ULL << own);
+	return with_entry & with_server;
+}
+
+static void choose_entries(struct lookup *lookup)
+{
+	struct rank_candidate *candidates =
+		calloc(lookup->view->member_count + 1, sizeof(*candidates));
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; candidates && i < lookup->view->member_count; i++) {
+		const struct member *member = &lookup->view->members[i];
+
+		if (!is_offered(lookup->doc, member) ||
+		    document_region_of_domain(lookup->doc,
+					      member->failure_domain) !=
+			    lookup->region)
+			continue;
+		candidates[count].name_hash = member->name_hash;
+		candidates[count].failure_domain =
+			(uint32_t)rank_hash(member->failure_domain);
+		candidates[count].index = i;
+		count++;
+	}
+	lookup->chosen_count =
+		rank_choose(candidates, count, rank_hash(lookup->block),
+			    lookup->chosen, ENTRIES_ANSWERED);
+	free(candidates);
+}
+
+static json_t *home_json(const struct member *home)
+{
+	struct order_key key = {
+		.incarnation = home->incarnation,
+		.claimed = !(home->flags & MEMBER_UNCLAIMED),
+		.issued_unix_s = clock_unix_ms() / MS_PER_S,
+	};
+	char prefix[KEY_PREFIX_BYTES];
+
+	snprintf(key.home, sizeof(key.home), "%s", home->name);
+	order_key_prefix(&key, prefix, sizeof(prefix));
+	return json_pack("{s:s,s:s,s:s}", "name", home->name, "address",
+			 home->http_address, "key_prefix", prefix);
+}
+
+static json_t *answer_json(const struct lookup *lookup)
+{
+	json_t *entries = json_array();
+	uint32_t i;
+
+	for (i = 0; i < lookup->chosen_count; i++) {
+		const struct member *member =
+			&lookup->view->members[lookup->chosen[i]];
+
+		json_array_append_new(
+			entries,
+			json_pack("{s:s,s:s,s:s}", "name", member->name,
+				  "address", member->http_address,
+				  "failure_domain", member->failure_domain));
+	}
+	return json_pack(
+		"{s:s,s:s,s:s,s:s,s:I,s:i,s:o,s:o}", "service",
+		lookup->service->name, "block", lookup->block, "from",
+		lookup->from, "region",
+		lookup->doc->regions[lookup->region].name, "version",
+		(json_int_t)lookup->doc->version, "ttl_ms",
+		(int)lookup->doc->lookup_ttl_ms, "entries", entries,
+		"order_home",
+		home_json(&lookup->view->members[lookup->chosen[0]]));
+}
+
+static void refuse(struct mg_connection *connection, uint32_t status,
+		   const char *what, const char *remedy)
+{
+	counter_add(COUNTER_LOOKUPS_REFUSED, 1);
+	http_reply_error(connection, status,
+			 status == 503 ? RETRY_AFTER : NULL, what, remedy);
+}
+
+/** Reads the query. @return false after a refusal. */
+static bool read_query(struct mg_connection *connection, struct lookup *lookup)
+{
+	const struct document *doc = lookup->doc;
+	char service[65], address[BLOCK_BYTES], from[65];
+	int region;
+
+	if (!http_query(connection, "service", service, sizeof(service))) {
+		refuse(connection, 400, "service is missing",
+		       "add ?service=NAME");
+		return false;
+	}
+	lookup->service = document_service(doc, service);
+	if (!lookup->service) {
+		refuse(connection, 404, "service is not in the document",
+		       "ask for a service that the operators published");
+		return false;
+	}
+	if (!http_query(connection, "client", address, sizeof(address)))
+		snprintf(address, sizeof(address), "%s",
+			 mg_get_request_info(connection)->remote_addr);
+	block_of(address, lookup->block);
+	region = document_region_of_domain(
+		doc, lookup->entry->settings.failure_domain);
+	if (http_query(connection, "from", from, sizeof(from)))
+		region = document_region_index(doc, from);
+	if (region >= 0) {
+		lookup->from = doc->regions[region].name;
+		return true;
+	}
+	refuse(connection, 400, "from is not a region of the document",
+	       "leave it out or name a region");
+	return false;
+}
+
+static void answer(struct mg_connection *connection, struct lookup *lookup)
+{
+	char headers[96];
+
+	lookup->region = steering_region(lookup->entry->steering,
+					 lookup->service->name, lookup->from,
+					 lookup->block, usable_regions(lookup));
+	if (lookup->region >= 0)
+		choose_entries(lookup);
+	if (!lookup->chosen_count) {
+		log_warn("lookup", "no region can serve service=%s block=%s",
+			 lookup->service->name, lookup->block);
+		refuse(connection, 503, "no region can serve now",
+		       "ask again after the time in Retry-After");
+		return;
+	}
+	log_info("lookup",
+		 "answered service=%s block=%s from=%s region=%s entry=%s "
+		 "version=%" PRIu64,
+		 lookup->service->name, lookup->block, lookup->from,
+		 lookup->doc->regions[lookup->region].name,
+		 lookup->view->members[lookup->chosen[0]].name,
+		 lookup->doc->version);
+	counter_add(COUNTER_LOOKUPS, 1);
+	snprintf(headers, sizeof(headers),
+		 "Cache-Control: private, max-age=%u\r\n",
+		 (unsigned)(lookup->doc->lookup_ttl_ms / MS_PER_S));
+	http_reply_json(connection, 200, headers, answer_json(lookup));
+}
+
+int lookup_handle(struct mg_connection *connection, void *context)
+{
+	struct lookup lookup = { .entry = context };
+	struct current_document *held = current_get(lookup.entry->current);
+
+	if (!held) {
+		refuse(connection, 503, "no document is in force yet",
+		       "publish one, or wait until this VM has heard of it");
+		return 503;
+	}
+	lookup.doc = held->doc;
+	lookup.view = peer_view_get(lookup.entry->peer);
+	if (read_query(connection, &lookup))
+		answer(connection, &lookup);
+	peer_view_release(lookup.view);
+	current_release(held);
+	return 200;
+}
--- /dev/null
+++ b/src/entry/lookup.h
@@ -0,0 +1,16 @@
+#ifndef ENTRY_LOOKUP_H
+#define ENTRY_LOOKUP_H
+
+#include "entry/entry_defs.h"
+
+struct mg_connection;
+
+/**
+ * @file
+ * GET /v1/entries: which entry VMs a caller should use.
+ */
+
+/** Request handler of CivetWeb; the context is a struct entry. */
+int lookup_handle(struct mg_connection *connection, void *context);
+
+#endif
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,48 @@
+#ifndef ENTRY_SETTINGS_H
+#define ENTRY_SETTINGS_H
+
+#include "base/shape.h"
+
+/**
+ * @file
+ * The daemon's settings file.
+ */
+
+struct settings {
+	char *name;
+	char *failure_domain;
+	char *listen;
+	char *address;
+	char *peer_listen;
+	char *peer_address;
+	char *peer_public_key;
+	char *peer_secret_key;
+	char **seeds;
+	uint32_t seed_count;
+	char *store;
+	char *log_level;
+	uint32_t store_timeout_ms;
+	uint32_t threads;
+	uint32_t keep_alive_ms;
+	uint32_t heartbeat_ms;
+	uint32_t probe_ms;
+	uint32_t orders_max;
+	uint32_t order_answer_bytes_max;
+	uint32_t leave_spread_ms;
+	uint32_t leave_max_ms;
+	bool test_seams;
+};
+
+extern const struct shape settings_shape;
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param settings zeroed; freed with shape_clear(&settings_shape, ...)
+ * whatever the outcome.
+ * @return whether it may be used; if not, the errors say what to mend.
+ */
+bool settings_read(struct settings *settings, const char *file_name,
+		   struct shape_errors *errors);
+
+#endif
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,207 @@
+#include "http/http_server.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_BYTES 2048
+#define OPTION_BYTES 80
+#define OPTIONS_MAX 24
+
+#define BODY_TOO_LONG (-1)
+#define BODY_INCOMPLETE (-2)
+
+struct mg_context *http_server_start(const struct http_server_options *options)
+{
+	char threads[OPTION_BYTES], keep[OPTION_BYTES], timeout[OPTION_BYTES];
+	char port[OPTION_BYTES], backlog[OPTION_BYTES];
+	const char *list[OPTIONS_MAX];
+	struct mg_callbacks callbacks;
+	struct mg_context *server;
+	size_t used = 0;
+
+	snprintf(port, sizeof(port), "%s%s", options->address,
+		 options->certificate ? "s" : "");
+	snprintf(threads, sizeof(threads), "%u", options->threads);
+	snprintf(keep, sizeof(keep), "%u", options->keep_alive_ms);
+	snprintf(timeout, sizeof(timeout), "%u", options->request_timeout_ms);
+	snprintf(backlog, sizeof(backlog), "%u", options->connections_max);
+	list[used++] = "listening_ports";
+	list[used++] = port;
+	list[used++] = "num_threads";
+	list[used++] = threads;
+	list[used++] = "enable_keep_alive";
+	list[used++] = options->keep_alive_ms ? "yes" : "no";
+	list[used++] = "keep_alive_timeout_ms";
+	list[used++] = keep;
+	list[used++] = "request_timeout_ms";
+	list[used++] = timeout;
+	list[used++] = "connection_queue";
+	list[used++] = backlog;
+	list[used++] = "listen_backlog";
+	list[used++] = backlog;
+	list[used++] = "tcp_nodelay";
+	list[used++] = "1";
+	list[used++] = "enable_directory_listing";
+	list[used++] = "no";
+	if (options->certificate) {
+		list[used++] = "ssl_certificate";
+		list[used++] = options->certificate;
+	}
+	list[used] = NULL;
+	memset(&callbacks, 0, sizeof(callbacks));
+	server = mg_start(&callbacks, NULL, list);
+	if (!server)
+		fprintf(stderr,
+			"http: cannot listen address=%s; choose a free one\n",
+			options->address);
+	return server;
+}
+
+static int64_t read_counted(struct mg_connection *connection, char *body,
+			    int64_t body_bytes)
+{
+	int64_t used = 0;
+	int count;
+
+	while (used < body_bytes) {
+		count = mg_read(connection, body + used,
+				(size_t)(body_bytes - used));
+		if (count <= 0)
+			return BODY_INCOMPLETE;
+		used += count;
+	}
+	body[used] = '\0';
+	return used;
+}
+
+static int64_t read_chunked(struct mg_connection *connection,
+			    uint32_t bytes_max, char **body)
+{
+	int64_t used = 0;
+	int count;
+
+	*body = malloc((size_t)bytes_max + 2);
+	if (!*body)
+		return BODY_TOO_LONG;
+	do {
+		count = mg_read(connection, *body + used,
+				(size_t)bytes_max + 1 - (size_t)used);
+		if (count < 0)
+			return BODY_INCOMPLETE;
+		used += count;
+		if (used > bytes_max)
+			return BODY_TOO_LONG;
+	} while (count);
+	(*body)[used] = '\0';
+	return used;
+}
+
+int64_t http_read_body(struct mg_connection *connection, uint32_t bytes_max,
+		       char **body)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	int64_t result;
+
+	*body = NULL;
+	if (info->content_length > (long long)bytes_max) {
+		result = BODY_TOO_LONG;
+	} else if (info->content_length >= 0) {
+		*body = malloc((size_t)info->content_length + 1);
+		result = *body ? read_counted(connection, *body,
+					      info->content_length) :
+				 BODY_TOO_LONG;
+	} else if (mg_get_header(connection, "Transfer-Encoding")) {
+		result = read_chunked(connection, bytes_max, body);
+	} else {
+		*body = strdup("");
+		result = 0;
+	}
+	if (result < 0) {
+		free(*body);
+		*body = NULL;
+		/* what is unread must not become the next request */
+		mg_disable_connection_keep_alive(connection);
+	}
+	return result;
+}
+
+const char *http_reason(uint32_t status)
+{
+	return mg_get_response_code_text(NULL, (int)status);
+}
+
+void http_reply(struct mg_connection *connection, uint32_t status,
+		const char *content_type, const char *headers,
+		const char *body, uint32_t body_bytes)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	const char *asked = mg_get_header(connection, "Connection");
+	bool close_after = (asked && !mg_strcasecmp(asked, "close")) ||
+			   !strcmp(info->http_version, "1.0");
+	char head[HEAD_BYTES];
+	char *text;
+	int used;
+
+	used = snprintf(head, sizeof(head),
+			"HTTP/1.1 %u %s\r\n"
+			"Content-Length: %u\r\n"
+			"%s%s%s"
+			"%s%s\r\n",
+			status, http_reason(status), body_bytes,
+			content_type ? "Content-Type: " : "",
+			content_type ? content_type : "",
+			content_type ? "\r\n" : "",
+			close_after ? "Connection: close\r\n" : "",
+			headers ? headers : "");
+	if (used >= (int)sizeof(head)) {
+		mg_disable_connection_keep_alive(connection);
+		return;
+	}
+	if (!strcmp(info->request_method, "HEAD"))
+		body_bytes = 0;
+	text = malloc((size_t)used + body_bytes);
+	if (!text) {
+		mg_disable_connection_keep_alive(connection);
+		return;
+	}
+	memcpy(text, head, (size_t)used);
+	if (body_bytes)
+		memcpy(text + used, body, body_bytes);
+	/* one write: a caller never sees a part of a reply in a packet */
+	mg_write(connection, text, (size_t)used + body_bytes);
+	free(text);
+	if (close_after)
+		mg_disable_connection_keep_alive(connection);
+}
+
+void http_reply_json(struct mg_connection *connection, uint32_t status,
+		     const char *headers, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	http_reply(connection, status, "application/json", headers,
+		   text ? text : "", text ? (uint32_t)strlen(text) : 0);
+	free(text);
+	json_decref(value);
+}
+
+void http_reply_error(struct mg_connection *connection, uint32_t status,
+		      const char *headers, const char *what, const char *remedy)
+{
+	http_reply_json(connection, status, headers,
+			json_pack("{s:s,s:s}", "error", what, "remedy",
+				  remedy));
+}
+
+bool http_query(const struct mg_connection *connection, const char *name,
+		char *value, uint32_t value_bytes)
+{
+	const char *query =
+		mg_get_request_info(connection)->query_string;
+
+	value[0] = '\0';
+	if (!query)
+		return false;
+	return mg_get_var(query, strlen(query), name, value, value_bytes) >= 0;
+}
--- /dev/null
+++ b/src/peer/peer.c
@@ -0,0 +1,283 @@
+#include "peer/peer.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "decide/rank.h"
+#include "peer/peer_internal.h"
+
+#define COMMAND_SLOTS 1024
+#define POLL_MS 20
+#define MESSAGES_PER_TURN 256
+#define FORGET_PERIOD_TURNS 1500
+
+static void run_command(struct peer *peer, struct peer_command *command)
+{
+	switch (command->kind) {
+	case PEER_TELL_LEAVING:
+		peer_tell_domain(peer, command->text, 0);
+		break;
+	case PEER_TELL_QUARANTINED:
+		peer_tell_domain(peer, NULL, command->number);
+		break;
+	case PEER_ADD_SEED:
+		if (peer->seeds->len < PEER_SEEDS_MAX &&
+		    !g_ptr_array_find_with_equal_func(peer->seeds,
+						      command->text,
+						      g_str_equal, NULL))
+			g_ptr_array_add(peer->seeds, g_strdup(command->text));
+		break;
+	case PEER_CUT:
+		g_free(peer->cut);
+		peer->cut = command->text[0] ?
+				    g_strdup_printf(",%s,", command->text) :
+				    NULL;
+		log_warn("peer", "test seam cuts domains=\"%s\"",
+			 command->text);
+		break;
+	}
+	free(command);
+}
+
+static void run_commands(struct peer *peer)
+{
+	struct peer_command *command;
+
+	while ((command = ring_pop(peer->commands, 0)))
+		run_command(peer, command);
+}
+
+static void receive(struct peer *peer)
+{
+	uint32_t wait_ms = POLL_MS;
+	Wire__Envelope *envelope;
+	int64_t byte_count;
+	void *bytes;
+	int i;
+
+	for (i = 0; i < MESSAGES_PER_TURN; i++) {
+		byte_count = link_receive(peer->link, wait_ms, &bytes);
+		if (byte_count < 0)
+			break;
+		wait_ms = 0;
+		counter_add(COUNTER_PEER_MESSAGES_IN, 1);
+		counter_add(COUNTER_PEER_BYTES_IN, (uint64_t)byte_count);
+		envelope = wire_unpack(bytes, (size_t)byte_count);
+		g_free(bytes);
+		if (!envelope) {
+			counter_add(COUNTER_PEER_MESSAGES_REFUSED, 1);
+			log_warn("peer", "refused a malformed message");
+			continue;
+		}
+		if (!peer_is_cut(peer, envelope->sender_domain))
+			peer_handle(peer, envelope,
+				    clock_now_ms(&clock_system));
+		wire_free(envelope);
+	}
+}
+
+static void update_self(struct peer *peer)
+{
+	struct member *self = member_self(peer->table);
+	uint64_t version = current_version(peer->current);
+	uint32_t flags = peer->flags;
+
+	if (self->document_version != version || self->flags != flags)
+		peer->view_stale = true;
+	self->document_version = version;
+	self->flags = flags;
+	peer->watch_rank = member_rank(peer->table, "watch");
+	if (peer->told_flags == flags)
+		return;
+	peer->told_flags = flags;
+	peer_tell_domain(peer, NULL, 0);
+}
+
+static int is_known_address(void *context, const char *address)
+{
+	const struct peer *peer = context;
+	uint32_t i, k;
+
+	for (i = 0; i < member_count(peer->table); i++)
+		if (!strcmp(member_at(peer->table, i)->peer_address, address))
+			return 1;
+	for (i = 0; i < peer->domains.count; i++)
+		for (k = 0; k < peer->domains.domains[i]->member_count; k++)
+			if (!strcmp(peer->domains.domains[i]
+					    ->members[k]
+					    .peer_address,
+				    address))
+				return 1;
+	return 0;
+}
+
+static void *run(void *context)
+{
+	struct peer *peer = context;
+	uint32_t turns = 0;
+	int64_t now_ms;
+
+	while (!peer->stopping) {
+		receive(peer);
+		run_commands(peer);
+		now_ms = clock_now_ms(&clock_system);
+		update_self(peer);
+		peer_announce(peer, now_ms);
+		peer_gossip(peer, now_ms);
+		if (peer->view_stale)
+			peer_view_rebuild(peer);
+		if (++turns % FORGET_PERIOD_TURNS == 0)
+			link_forget(peer->link, is_known_address, peer);
+	}
+	return NULL;
+}
+
+static void fill_self(struct member *self, const struct peer_options *options)
+{
+	memset(self, 0, sizeof(*self));
+	snprintf(self->name, sizeof(self->name), "%s", options->name);
+	snprintf(self->failure_domain, sizeof(self->failure_domain), "%s",
+		 options->failure_domain);
+	snprintf(self->http_address, sizeof(self->http_address), "%s",
+		 options->http_address);
+	snprintf(self->peer_address, sizeof(self->peer_address), "%s",
+		 options->peer_address);
+	self->name_hash = rank_hash(options->name);
+	self->incarnation = options->incarnation;
+}
+
+static void peer_free(struct peer *peer)
+{
+	struct peer_command *command;
+
+	link_close(peer->link);
+	while (peer->commands && (command = ring_pop(peer->commands, 0)))
+		free(command);
+	ring_free(peer->commands);
+	member_table_free(peer->table);
+	domain_list_clear(&peer->domains);
+	if (peer->seeds)
+		g_ptr_array_free(peer->seeds, TRUE);
+	if (peer->random)
+		g_rand_free(peer->random);
+	g_free(peer->cut);
+	peer_view_release(peer->view);
+	pthread_mutex_destroy(&peer->lock);
+	free(peer);
+}
+
+struct peer *peer_start(const struct peer_options *options,
+			const struct peer_callbacks *callbacks,
+			struct current *current)
+{
+	struct peer *peer = calloc(1, sizeof(*peer));
+	struct link_options link_options = { options->listen_address,
+					     options->public_key,
+					     options->secret_key };
+	struct member self;
+	uint32_t i;
+
+	if (!peer)
+		return NULL;
+	pthread_mutex_init(&peer->lock, NULL);
+	fill_self(&self, options);
+	peer->started_ms = clock_now_ms(&clock_system);
+	peer->table = member_table_new(&self, peer->started_ms);
+	peer->callbacks = *callbacks;
+	peer->current = current;
+	peer->heartbeat_ms = options->heartbeat_ms;
+	peer->commands = ring_new(COMMAND_SLOTS);
+	peer->seeds = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < options->seed_count; i++)
+		g_ptr_array_add(peer->seeds, g_strdup(options->seeds[i]));
+	peer->random = g_rand_new_with_seed((guint32)self.name_hash);
+	peer_view_rebuild(peer);
+	peer->link = link_open(&link_options);
+	if (!peer->link || !peer->table || !peer->commands)
+		goto fail;
+	if (pthread_create(&peer->thread, NULL, run, peer))
+		goto fail;
+	return peer;
+fail:
+	peer_free(peer);
+	return NULL;
+}
+
+void peer_stop(struct peer *peer)
+{
+	if (!peer)
+		return;
+	peer->stopping = true;
+	pthread_join(peer->thread, NULL);
+	peer_free(peer);
+}
+
+struct peer_view *peer_view_get(struct peer *peer)
+{
+	struct peer_view *view;
+
+	pthread_mutex_lock(&peer->lock);
+	view = peer->view;
+	__atomic_add_fetch(&view->references, 1, __ATOMIC_ACQ_REL);
+	pthread_mutex_unlock(&peer->lock);
+	return view;
+}
+
+void peer_view_release(struct peer_view *view)
+{
+	if (!view ||
+	    __atomic_sub_fetch(&view->references, 1, __ATOMIC_ACQ_REL))
+		return;
+	free(view->members);
+	free(view);
+}
+
+void peer_set_flag(struct peer *peer, uint32_t flag, bool set)
+{
+	if (set)
+		atomic_fetch_or(&peer->flags, flag);
+	else
+		atomic_fetch_and(&peer->flags, ~flag);
+}
+
+uint32_t peer_watch_rank(struct peer *peer)
+{
+	return peer->watch_rank;
+}
+
+static void hand_over(struct peer *peer, enum peer_command_kind kind,
+		      const char *text, uint64_t number)
+{
+	struct peer_command *command = calloc(1, sizeof(*command));
+
+	if (!command)
+		return;
+	command->kind = kind;
+	command->number = number;
+	snprintf(command->text, sizeof(command->text), "%s", text);
+	if (!ring_push(peer->commands, command))
+		free(command);
+}
+
+void peer_tell_leaving(struct peer *peer, const char *backend)
+{
+	hand_over(peer, PEER_TELL_LEAVING, backend, 0);
+}
+
+void peer_tell_quarantined(struct peer *peer, uint64_t fingerprint)
+{
+	hand_over(peer, PEER_TELL_QUARANTINED, "", fingerprint);
+}
+
+void peer_add_seed(struct peer *peer, const char *peer_address)
+{
+	hand_over(peer, PEER_ADD_SEED, peer_address, 0);
+}
+
+void peer_cut(struct peer *peer, const char *domains)
+{
+	hand_over(peer, PEER_CUT, domains, 0);
+}
--- /dev/null
+++ b/src/store/store_etcd.h
@@ -0,0 +1,24 @@
+#ifndef STORE_STORE_ETCD_H
+#define STORE_STORE_ETCD_H
+
+#include "store/store_defs.h"
+
+/**
+ * @file
+ * The store through the JSON gateway of the etcd v3 API.
+ */
+
+struct store_etcd;
+
+/**
+ * @param address "IP:port" of the gateway.
+ * @param timeout_ms longest time one call may take.
+ * @return an adapter that the caller frees with store_etcd_free(), or NULL.
+ */
+struct store_etcd *store_etcd_new(const char *address, uint32_t timeout_ms);
+void store_etcd_free(struct store_etcd *etcd);
+
+/** @return the callbacks over an adapter, which must outlive them. */
+struct store store_etcd_store(struct store_etcd *etcd);
+
+#endif
