fix(base): lock the producers of a ring instead of spinning

A stack sample showed all 16 workers inside the multi-producer enqueue of the log's ring: each producer spins until those before it have published, so one that loses its core holds up all others for a time slice. Ruled out: the network (no delayed acknowledgements in a trace), the log writer (no line was dropped).

Solution: producers take a mutex and use the single-producer enqueue; each ring has one consumer anyway. Adds the load, comparison and history commands that found it.

--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,78 @@
+#include <civetweb.h>
+#include <signal.h>
+#include <string.h>
+
+#include "base/attributes.h"
+#include "base/deadline.h"
+#include "bench_defs.h"
+
+/**
+ * @file
+ * auburnreach-bench: load, judgement of histories, and comparisons.
+ */
+
+struct command {
+	const char *name;
+	const char *help;
+	int (*run)(int argc, char **argv);
+};
+
+static const struct command commands[] = {
+	{ "load", "callers at a fixed rate", bench_load },
+	{ "check", "judge what callers were told by what servers ran",
+	  bench_check },
+	{ "forward", "what a forward adds to the bare backend server",
+	  bench_forward },
+	{ "lookups", "look-ups against an empty handler", bench_lookups },
+};
+
+static void print_help(FILE *out)
+{
+	size_t i;
+
+	fprintf(out, "Usage: " BENCH_PROGRAM " COMMAND [OPTIONS]\n\n"
+		     "Commands:\n");
+	for (i = 0; i < ARRAY_SIZE(commands); i++)
+		fprintf(out, "  %-10s %s\n", commands[i].name,
+			commands[i].help);
+	fprintf(out, "\nA command without its options prints them.\n"
+		     "Exit codes: 0 done, 1 a promise broke or requests "
+		     "failed, 2 wrong use.\n");
+}
+
+static int run_command(int argc, char **argv)
+{
+	size_t i;
+	int code;
+
+	for (i = 0; i < ARRAY_SIZE(commands); i++) {
+		if (strcmp(commands[i].name, argv[1]))
+			continue;
+		signal(SIGPIPE, SIG_IGN);
+		mg_init_library(0);
+		if (deadline_start())
+			return 1;
+		code = commands[i].run(argc - 1, argv + 1);
+		deadline_stop();
+		return code;
+	}
+	fprintf(stderr, BENCH_PROGRAM ": \"%s\" is not a command\n", argv[1]);
+	return 2;
+}
+
+int main(int argc, char **argv)
+{
+	if (argc < 2) {
+		print_help(stderr);
+		return 2;
+	}
+	if (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h")) {
+		print_help(stdout);
+		return 0;
+	}
+	if (!strcmp(argv[1], "--version") || !strcmp(argv[1], "-V")) {
+		printf(BENCH_PROGRAM " " ABR_VERSION "\n");
+		return 0;
+	}
+	return run_command(argc, argv);
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -8,8 +8,8 @@
  * Time as the decisions see it: a callback, so that tests pause and advance it.
  */
 
-#define NS_PER_MS 1000000LL
-#define MS_PER_S 1000LL
+#define NS_PER_MS INT64_C(1000000)
+#define MS_PER_S INT64_C(1000)
 
 /** A monotonic clock. */
 struct clock {
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -1,6 +1,7 @@
 #include "base/ring.h"
 
 #include <ck_ring.h>
+#include <pthread.h>
 #include <semaphore.h>
 #include <stdlib.h>
 #include <time.h>
@@ -10,6 +11,7 @@
 struct ring {
 	ck_ring_t ring;
 	ck_ring_buffer_t *buffer;
+	pthread_mutex_t producers;
 	sem_t filled;
 };
 
@@ -25,6 +27,7 @@
 		return NULL;
 	}
 	ck_ring_init(&ring->ring, slots);
+	pthread_mutex_init(&ring->producers, NULL);
 	sem_init(&ring->filled, 0, 0);
 	return ring;
 }
@@ -33,6 +36,7 @@
 {
 	if (!ring)
 		return;
+	pthread_mutex_destroy(&ring->producers);
 	sem_destroy(&ring->filled);
 	free(ring->buffer);
 	free(ring);
@@ -40,7 +44,13 @@
 
 bool ring_push(struct ring *ring, void *entry)
 {
-	if (!ck_ring_enqueue_mpmc(&ring->ring, ring->buffer, entry))
+	bool pushed;
+
+	/* a lock, not a spin: producers outnumber the cores */
+	pthread_mutex_lock(&ring->producers);
+	pushed = ck_ring_enqueue_spsc(&ring->ring, ring->buffer, entry);
+	pthread_mutex_unlock(&ring->producers);
+	if (!pushed)
 		return false;
 	sem_post(&ring->filled);
 	return true;
@@ -66,7 +76,7 @@
 
 	if (sem_trywait(&ring->filled) && wait_ms)
 		wait_filled(ring, wait_ms);
-	if (!ck_ring_dequeue_mpmc(&ring->ring, ring->buffer, &entry))
+	if (!ck_ring_dequeue_spsc(&ring->ring, ring->buffer, &entry))
 		return NULL;
 	return entry;
 }
--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -6,8 +6,8 @@
 
 /**
  * @file
- * A bounded queue of pointers between threads. Producers never block; a
- * consumer may wait.
+ * A bounded queue of pointers from any number of threads to one. Producers
+ * never wait for the consumer; the consumer may wait.
  */
 
 struct ring;
@@ -21,12 +21,12 @@
 /** Frees the ring; entries still in it are the caller's. NULL is allowed. */
 void ring_free(struct ring *ring);
 
-/** @return false when the ring is full. Any thread; never blocks. */
+/** @return false when the ring is full. Any thread. */
 bool ring_push(struct ring *ring, void *entry);
 
 /**
  * @param wait_ms longest wait in milliseconds.
- * @return the oldest entry, or NULL when none came in time. Any thread.
+ * @return the oldest entry, or NULL when none came in time. The consumer's thread.
  */
 void *ring_pop(struct ring *ring, uint32_t wait_ms);
 
