--- a/bench/caller.c
+++ b/bench/caller.c
@@ -61,8 +61,7 @@
 
 static enum http_result exchange(struct caller *caller, const char *address,
 				 struct http_request *request,
-				 uint32_t timeout_ms,
-				 struct http_answer *answer)
+				 uint32_t timeout_ms, struct http_answer *answer)
 {
 	request->answer_bytes_max = ANSWER_BYTES_MAX;
 	request->deadline_ns =
@@ -79,10 +78,8 @@
 	json_t *home = json_object_get(json, "order_home");
 	const char *prefix =
 		json_string_value(json_object_get(home, "key_prefix"));
-	const char *region =
-		json_string_value(json_object_get(json, "region"));
-	json_int_t ttl_ms =
-		json_integer_value(json_object_get(json, "ttl_ms"));
+	const char *region = json_string_value(json_object_get(json, "region"));
+	json_int_t ttl_ms = json_integer_value(json_object_get(json, "ttl_ms"));
 	const char *address;
 	json_t *entry;
 	size_t i;
@@ -96,8 +93,7 @@
 	}
 	g_strlcpy(caller->key_prefix, prefix ? prefix : "",
 		  sizeof(caller->key_prefix));
-	g_strlcpy(caller->region, region ? region : "",
-		  sizeof(caller->region));
+	g_strlcpy(caller->region, region ? region : "", sizeof(caller->region));
 	caller->valid_until_ms = clock_now_ms(&clock_system) + ttl_ms;
 	json_decref(json);
 	return caller->address_count;
@@ -164,8 +160,8 @@
 				  answer->body_bytes, 0, NULL);
 	const char *tag = json_string_value(json_object_get(json, "caller"));
 	const char *own = json_string_value(json_object_get(json, "key"));
-	bool is_own = tag && !strcmp(tag, caller->tag) && own &&
-		      !strcmp(own, key);
+	bool is_own =
+		tag && !strcmp(tag, caller->tag) && own && !strcmp(own, key);
 
 	json_decref(json);
 	return is_own;
@@ -197,8 +193,7 @@
 	attempt->verdict = verdict_of(result, &answer);
 	attempt->status = answer.status;
 	id = http_answer_header(&answer, "Auburnreach-Request-Id");
-	g_strlcpy(attempt->request_id, id ? id : "",
-		  sizeof(attempt->request_id));
+	g_strlcpy(attempt->request_id, id ? id : "", sizeof(attempt->request_id));
 	if (result == HTTP_WHOLE && answer.status == 200) {
 		outcome->succeeded = true;
 		outcome->answer_wrong =
@@ -241,13 +236,11 @@
 			snprintf(outcome->key, sizeof(outcome->key),
 				 "%s%s-%" PRIu64, caller->key_prefix,
 				 caller->tag, ++caller->number);
-		snprintf(headers, sizeof(headers),
-			 "Caller-Tag: %s\r\n%s%s%s%s", caller->tag,
-			 outcome->key[0] ? "Idempotency-Key: " : "",
+		snprintf(headers, sizeof(headers), "Caller-Tag: %s\r\n%s%s%s%s",
+			 caller->tag, outcome->key[0] ? "Idempotency-Key: " : "",
 			 outcome->key, outcome->key[0] ? "\r\n" : "", extra);
 		try_once(caller, method, headers,
-			 caller->addresses[i % caller->address_count],
-			 outcome);
+			 caller->addresses[i % caller->address_count], outcome);
 		if (!is_settled(outcome))
 			caller->valid_until_ms = 0; /* ask again */
 	}
--- a/bench/caller.h
+++ b/bench/caller.h
@@ -36,9 +36,9 @@
 struct caller {
 	const struct caller_options *options;
 	struct caller_net *net;
-	char tag[40];	  /**< sent with each request, expected in the answer */
-	char client[40];  /**< address that the look-up is made for */
-	char from[65];	  /**< region */
+	char tag[40];	 /**< sent with each request, expected in the answer */
+	char client[40]; /**< address that the look-up is made for */
+	char from[65];	 /**< region */
 	uint32_t next_lookup;
 	uint64_t number;
 	/* the kept look-up answer */
--- a/bench/check.c
+++ b/bench/check.c
@@ -36,8 +36,8 @@
 
 static void print(const struct history *history)
 {
-	printf("operations=%" PRIu64 " failed=%" PRIu64 " wrong_answers=%" PRIu64
-	       "\n",
+	printf("operations=%" PRIu64 " failed=%" PRIu64
+	       " wrong_answers=%" PRIu64 "\n",
 	       history->operations, history->failed, history->wrong);
 	printf("orders=%" PRIu64 " once=%" PRIu64 " twice=%" PRIu64
 	       " never=%" PRIu64 " ran_but_told_may_have_run=%" PRIu64 "\n",
@@ -68,8 +68,7 @@
 		goto out;
 	}
 	for (i = 0; i < journals->count; i++)
-		if (!read_lines(&history, journals->filename[i],
-				history_read_run))
+		if (!read_lines(&history, journals->filename[i], history_read_run))
 			goto out;
 	if (!read_lines(&history, told->filename[0], history_read_operation))
 		goto out;
--- a/bench/compare.c
+++ b/bench/compare.c
@@ -65,8 +65,7 @@
 	int64_t due_ns;
 	uint32_t index;
 
-	while ((index = __sync_fetch_and_add(&stream->next, 1)) <
-	       stream->count) {
+	while ((index = __sync_fetch_and_add(&stream->next, 1)) < stream->count) {
 		due_ns = clock_now_ns(&clock_system);
 		if (stream->rate) {
 			due_ns = stream->start_ns + (int64_t)index * NS_PER_MS *
@@ -76,8 +75,7 @@
 		}
 		if (ask(stream))
 			samples_add(&thread->samples,
-				    (clock_now_ns(&clock_system) - due_ns) /
-					    1000);
+				    (clock_now_ns(&clock_system) - due_ns) / 1000);
 		else
 			__sync_fetch_and_add(&stream->failed, 1);
 	}
@@ -91,16 +89,15 @@
 		g_new0(struct stream_thread, stream->thread_count);
 	uint32_t i;
 
-	stream->pool = http_pool_new(stream->address, stream->thread_count,
-				     FRESH_MS);
+	stream->pool =
+		http_pool_new(stream->address, stream->thread_count, FRESH_MS);
 	stream->next = 0;
 	stream->start_ns = clock_now_ns(&clock_system);
 	samples_init(all, stream->count);
 	for (i = 0; i < stream->thread_count; i++) {
 		threads[i].stream = stream;
 		samples_init(&threads[i].samples, stream->count);
-		pthread_create(&threads[i].thread, NULL, run_stream,
-			       &threads[i]);
+		pthread_create(&threads[i].thread, NULL, run_stream, &threads[i]);
 	}
 	for (i = 0; i < stream->thread_count; i++) {
 		pthread_join(threads[i].thread, NULL);
@@ -171,7 +168,7 @@
 	stream.rate = rate->count ? (uint32_t)rate->ival[0] : 1000;
 	stream.count = count->count ? (uint32_t)count->ival[0] : 2000;
 	round_count = rounds->count ? (uint32_t)rounds->ival[0] : 5;
-	round_count = MIN(round_count, ROUNDS_MAX);
+	round_count = CLAMP(round_count, 1, ROUNDS_MAX);
 	for (i = 0; i < round_count; i++) {
 		stream.address = bare->sval[0];
 		run(&stream, &direct);
@@ -206,10 +203,8 @@
 
 int bench_lookups(int argc, char **argv)
 {
-	struct arg_str *entry =
-		arg_str1("e", "entry", "IP:PORT", "the entry VM");
-	struct arg_str *service =
-		arg_str1("s", "service", "NAME", "the service");
+	struct arg_str *entry = arg_str1("e", "entry", "IP:PORT", "the entry VM");
+	struct arg_str *service = arg_str1("s", "service", "NAME", "the service");
 	struct arg_str *empty = arg_str1(NULL, "empty", "IP:PORT",
 					 "where the empty handler listens");
 	struct arg_int *count =
@@ -241,12 +236,11 @@
 	if (!server)
 		goto out;
 	mg_set_request_handler(server, "/", handle_empty, NULL);
-	snprintf(path, sizeof(path), "/v1/entries?service=%s",
-		 service->sval[0]);
+	snprintf(path, sizeof(path), "/v1/entries?service=%s", service->sval[0]);
 	stream.path = path;
 	stream.count = count->count ? (uint32_t)count->ival[0] : 50000;
 	round_count = rounds->count ? (uint32_t)rounds->ival[0] : 5;
-	round_count = MIN(round_count, ROUNDS_MAX);
+	round_count = CLAMP(round_count, 1, ROUNDS_MAX);
 	for (i = 0; i < round_count; i++) {
 		stream.address = empty->sval[0];
 		empty_per_s[i] = stream.count * 1e9 / run(&stream, &all);
--- a/bench/history.c
+++ b/bench/history.c
@@ -39,9 +39,9 @@
 		history->runs_read++;
 		key = fields[FIELD_KEY];
 		if (strcmp(fields[FIELD_METHOD], "GET") && strcmp(key, "-"))
-			g_hash_table_replace(
-				history->runs, g_strdup(key),
-				GUINT_TO_POINTER(runs_of(history, key) + 1));
+			g_hash_table_replace(history->runs, g_strdup(key),
+					     GUINT_TO_POINTER(
+						     runs_of(history, key) + 1));
 	}
 	g_strfreev(fields);
 }
@@ -60,8 +60,7 @@
 	size_t i;
 
 	json_array_foreach (attempts, i, attempt) {
-		verdict = json_string_value(
-			json_object_get(attempt, "verdict"));
+		verdict = json_string_value(json_object_get(attempt, "verdict"));
 		if (!verdict || !strcmp(verdict, "may-have-run"))
 			told.may_have_run = true;
 		else if (!strcmp(verdict, "ran"))
@@ -70,8 +69,7 @@
 	return told;
 }
 
-static void judge_order(struct history *history, const char *key,
-			struct told told)
+static void judge_order(struct history *history, const char *key, struct told told)
 {
 	uint32_t runs = runs_of(history, key);
 
--- a/bench/history.h
+++ b/bench/history.h
@@ -23,10 +23,10 @@
 	uint64_t open;	    /**< ran, the caller heard at most MAY_HAVE_RUN */
 	uint64_t false_ran; /**< told RAN, but did not run: broken */
 	uint64_t false_not_run; /**< told NOT_RUN only, but ran: broken */
-	uint64_t wrong;	    /**< another caller's answer, or not whole */
-	uint64_t failed;    /**< operations without a good answer */
-	uint64_t stray;	    /**< runs of a key that no caller used */
-	uint64_t malformed; /**< lines that could not be read */
+	uint64_t wrong;		/**< another caller's answer, or not whole */
+	uint64_t failed;	/**< operations without a good answer */
+	uint64_t stray;		/**< runs of a key that no caller used */
+	uint64_t malformed;	/**< lines that could not be read */
 };
 
 void history_init(struct history *history);
--- a/bench/load.c
+++ b/bench/load.c
@@ -121,8 +121,8 @@
 	enum operation_kind kind =
 		kind_of(load, (uint32_t)g_rand_int_range(random, 0, 1000));
 	struct caller *caller =
-		&thread->callers[g_rand_int_range(
-			random, 0, (gint32)thread->caller_count)];
+		&thread->callers[g_rand_int_range(random, 0,
+						  (gint32)thread->caller_count)];
 	bool faulty = (uint32_t)g_rand_int_range(random, 0, 1000) <
 		      load->fault_permille;
 	struct caller_outcome outcome;
@@ -229,8 +229,7 @@
 		make_callers(&threads[i], i);
 		for (kind = 0; kind < KIND_COUNT; kind++)
 			samples_init(&threads[i].samples[kind], load->total);
-		pthread_create(&threads[i].thread, NULL, run_thread,
-			       &threads[i]);
+		pthread_create(&threads[i].thread, NULL, run_thread, &threads[i]);
 	}
 	for (i = 0; i < thread_count; i++)
 		pthread_join(threads[i].thread, NULL);
@@ -248,24 +247,23 @@
 {
 	struct arg_str *entries = arg_str1("e", "entries", "IP:PORT,...",
 					   "entry VMs that are asked");
-	struct arg_str *service =
-		arg_str1("s", "service", "NAME", "the service");
+	struct arg_str *service = arg_str1("s", "service", "NAME", "the service");
 	struct arg_str *prefix =
 		arg_str1("p", "path", "PATH", "the service's path_prefix");
 	struct arg_str *regions =
 		arg_str1("f", "from", "REGION,...", "the callers' regions");
 	struct arg_int *rate =
 		arg_int0("r", "rate", "N", "operations a second (100)");
-	struct arg_int *seconds =
-		arg_int0("t", "seconds", "N", "how long (10)");
-	struct arg_int *lookups = arg_int0(NULL, "lookups", "N",
-					   "look-ups, in thousandths (0)");
+	struct arg_int *seconds = arg_int0("t", "seconds", "N", "how long (10)");
+	struct arg_int *lookups =
+		arg_int0(NULL, "lookups", "N", "look-ups, in thousandths (0)");
 	struct arg_int *orders =
 		arg_int0(NULL, "orders", "N", "orders, in thousandths (200)");
 	struct arg_str *fault = arg_str0(NULL, "fault", "NAME",
 					 "fault asked of stand-in servers");
-	struct arg_int *fault_permille = arg_int0(
-		NULL, "fault-orders", "N", "orders with it, in thousandths");
+	struct arg_int *fault_permille =
+		arg_int0(NULL, "fault-orders", "N",
+			 "orders with it, in thousandths");
 	struct arg_int *threads =
 		arg_int0(NULL, "threads", "N", "operations at a time (32)");
 	struct arg_int *timeout =
@@ -275,10 +273,9 @@
 	struct arg_file *history =
 		arg_file0("o", "history", "FILE", "what callers were told");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { entries, service,  prefix,   regions,
-			  rate,	   seconds,  lookups,  orders,
-			  fault,   fault_permille,     threads,
-			  timeout, attempts, history,  end };
+	void *table[] = { entries, service, prefix,   regions, rate,
+			  seconds, lookups, orders,   fault,   fault_permille,
+			  threads, timeout, attempts, history, end };
 	struct load load = { .rate = 100 };
 	int code = 2;
 	uint32_t thread_count = 32;
@@ -288,10 +285,8 @@
 		arg_print_glossary(stderr, table, "  %-26s %s\n");
 		goto out;
 	}
-	load.options.lookup_addresses =
-		g_strsplit(entries->sval[0], ",", -1);
-	load.options.lookup_count =
-		g_strv_length(load.options.lookup_addresses);
+	load.options.lookup_addresses = g_strsplit(entries->sval[0], ",", -1);
+	load.options.lookup_count = g_strv_length(load.options.lookup_addresses);
 	load.options.service = service->sval[0];
 	load.options.path_prefix = prefix->sval[0];
 	load.options.timeout_ms =
@@ -304,18 +299,18 @@
 	load.caller_count = 4;
 	if (rate->count && rate->ival[0] > 0)
 		load.rate = (uint32_t)rate->ival[0];
-	load.total = load.rate *
-		     (seconds->count ? (uint32_t)seconds->ival[0] : 10);
+	load.total =
+		load.rate * (seconds->count ? (uint32_t)seconds->ival[0] : 10);
 	load.permille[KIND_LOOKUP] =
 		lookups->count ? (uint32_t)lookups->ival[0] : 0;
 	load.permille[KIND_ORDER] =
 		orders->count ? (uint32_t)orders->ival[0] : 200;
-	load.permille[KIND_GET] = 1000 - load.permille[KIND_LOOKUP] -
-				  load.permille[KIND_ORDER];
+	load.permille[KIND_GET] =
+		1000 - load.permille[KIND_LOOKUP] - load.permille[KIND_ORDER];
 	load.fault = fault->count ? fault->sval[0] : NULL;
-	load.fault_permille = load.fault && fault_permille->count ?
-				      (uint32_t)fault_permille->ival[0] :
-				      0;
+	load.fault_permille = load.fault && fault_permille->count
+				      ? (uint32_t)fault_permille->ival[0]
+				      : 0;
 	if (threads->count && threads->ival[0] > 0)
 		thread_count = (uint32_t)threads->ival[0];
 	pthread_mutex_init(&load.lock, NULL);
--- a/bench/main.c
+++ b/bench/main.c
@@ -24,6 +24,7 @@
 	{ "forward", "what a forward adds to the bare backend server",
 	  bench_forward },
 	{ "lookups", "look-ups against an empty handler", bench_lookups },
+	{ "ports", "print free ports of the loopback address", bench_ports },
 };
 
 static void print_help(FILE *out)
@@ -33,8 +34,7 @@
 	fprintf(out, "Usage: " BENCH_PROGRAM " COMMAND [OPTIONS]\n\n"
 		     "Commands:\n");
 	for (i = 0; i < ARRAY_SIZE(commands); i++)
-		fprintf(out, "  %-10s %s\n", commands[i].name,
-			commands[i].help);
+		fprintf(out, "  %-10s %s\n", commands[i].name, commands[i].help);
 	fprintf(out, "\nA command without its options prints them.\n"
 		     "Exit codes: 0 done, 1 a promise broke or requests "
 		     "failed, 2 wrong use.\n");
--- a/src/backend/backends.c
+++ b/src/backend/backends.c
@@ -155,13 +155,11 @@
 {
 	return !strcmp(from->service, group->service) &&
 	       document_region_of_domain(doc, from->failure_domain) ==
-		       document_region_of_domain(doc,
-						 backends->failure_domain);
+		       document_region_of_domain(doc, backends->failure_domain);
 }
 
 /** Fills the new place of a server from its old one or from the document. */
-static void place_server(struct backends *backends,
-			 struct backend_group *group,
+static void place_server(struct backends *backends, struct backend_group *group,
 			 const struct doc_backend *from,
 			 struct pick_server *server, struct backend **place)
 {
@@ -277,9 +275,8 @@
 
 	for (;;) {
 		now_ms = clock_now_ms(backends->clock);
-		index = pick_choose(group->servers, group->count,
-				    request->tried, request->tried_count,
-				    draw(backends), now_ms);
+		index = pick_choose(group->servers, group->count, request->tried,
+				    request->tried_count, draw(backends), now_ms);
 		*refusal = BACKENDS_GIVEN;
 		if (index >= 0)
 			break;
@@ -412,13 +409,12 @@
 	const struct backend *backend = group->backends[index];
 
 	snprintf(state->name, sizeof(state->name), "%s", backend->name);
-	snprintf(state->service, sizeof(state->service), "%s",
-		 backend->service);
+	snprintf(state->service, sizeof(state->service), "%s", backend->service);
 	snprintf(state->address, sizeof(state->address), "%s",
 		 http_pool_address(backend->pool));
 	state->server = group->servers[index];
-	state->ejected = state->server.ejected_until_ms >
-			 clock_now_ms(backends->clock);
+	state->ejected =
+		state->server.ejected_until_ms > clock_now_ms(backends->clock);
 }
 
 bool backends_state_at(struct backends *backends, uint32_t index,
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -12,8 +12,7 @@
 	[COUNTER_LOOKUPS] = { "lookups", "look-ups answered" },
 	[COUNTER_LOOKUPS_REFUSED] = { "lookups_refused", "look-ups refused" },
 	[COUNTER_REQUESTS] = { "requests", "requests taken from callers" },
-	[COUNTER_ATTEMPTS] = { "attempts",
-			       "requests sent to backend servers" },
+	[COUNTER_ATTEMPTS] = { "attempts", "requests sent to backend servers" },
 	[COUNTER_RETRIES] = { "retries", "attempts after the first" },
 	[COUNTER_RETRIES_OVER_BUDGET] = { "retries_over_budget",
 					  "retries that the budget refused" },
@@ -27,11 +26,9 @@
 	[COUNTER_TIMED_OUT] = { "timed_out", "attempts past their deadline" },
 	[COUNTER_LOST] = { "lost", "attempts without a whole answer" },
 	[COUNTER_NOT_RUN] = { "not_run", "requests told not-run" },
-	[COUNTER_MAY_HAVE_RUN] = { "may_have_run",
-				   "requests told may-have-run" },
+	[COUNTER_MAY_HAVE_RUN] = { "may_have_run", "requests told may-have-run" },
 	[COUNTER_ORDERS] = { "orders", "non-idempotent requests" },
-	[COUNTER_ORDERS_JOINED] = { "orders_joined",
-				    "repeats that joined a run" },
+	[COUNTER_ORDERS_JOINED] = { "orders_joined", "repeats that joined a run" },
 	[COUNTER_ORDERS_REPLAYED] = { "orders_replayed",
 				      "repeats given the recorded outcome" },
 	[COUNTER_ORDERS_KEY_REUSED] = { "orders_key_reused",
@@ -39,8 +36,7 @@
 	[COUNTER_ORDERS_PASSED_HOME] = { "orders_passed_home",
 					 "orders passed to their home" },
 	[COUNTER_CLAIMS] = { "claims", "order claims written" },
-	[COUNTER_CLAIMS_LOST] = { "claims_lost",
-				  "orders claimed by another VM" },
+	[COUNTER_CLAIMS_LOST] = { "claims_lost", "orders claimed by another VM" },
 	[COUNTER_CLAIMS_UNKNOWN] = { "claims_unknown",
 				     "claims whose outcome was unknown" },
 	[COUNTER_STORE_CALLS] = { "store_calls", "calls to the store" },
@@ -48,12 +44,9 @@
 				   "calls to the store that failed" },
 	[COUNTER_DOCUMENTS_APPLIED] = { "documents_applied",
 					"documents put in force" },
-	[COUNTER_DOCUMENTS_REFUSED] = { "documents_refused",
-					"documents refused" },
-	[COUNTER_PEER_MESSAGES_IN] = { "peer_messages_in",
-				       "messages from peers" },
-	[COUNTER_PEER_MESSAGES_OUT] = { "peer_messages_out",
-					"messages to peers" },
+	[COUNTER_DOCUMENTS_REFUSED] = { "documents_refused", "documents refused" },
+	[COUNTER_PEER_MESSAGES_IN] = { "peer_messages_in", "messages from peers" },
+	[COUNTER_PEER_MESSAGES_OUT] = { "peer_messages_out", "messages to peers" },
 	[COUNTER_PEER_BYTES_IN] = { "peer_bytes_in", "bytes from peers" },
 	[COUNTER_PEER_BYTES_OUT] = { "peer_bytes_out", "bytes to peers" },
 	[COUNTER_PEER_MESSAGES_REFUSED] = { "peer_messages_refused",
@@ -66,8 +59,7 @@
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
-	[GAUGE_DOCUMENT_VERSION] = { "document_version",
-				     "version in force" },
+	[GAUGE_DOCUMENT_VERSION] = { "document_version", "version in force" },
 	[GAUGE_IN_FLIGHT] = { "in_flight", "requests in progress" },
 	[GAUGE_WAITING] = { "waiting", "requests waiting for a slot" },
 	[GAUGE_ORDERS_REMEMBERED] = { "orders_remembered",
@@ -96,8 +88,7 @@
 
 void gauge_add(enum gauge gauge, int64_t amount)
 {
-	atomic_fetch_add_explicit(&gauges[gauge], amount,
-				  memory_order_relaxed);
+	atomic_fetch_add_explicit(&gauges[gauge], amount, memory_order_relaxed);
 }
 
 void gauge_set(enum gauge gauge, int64_t value)
@@ -117,13 +108,12 @@
 	for (i = 0; i < COUNTER_COUNT; i++) {
 		const struct metric *metric = &counter_metrics[i];
 
-		g_string_append_printf(
-			text,
-			"# TYPE auburnreach_%s counter\n"
-			"# HELP auburnreach_%s %s\n"
-			"auburnreach_%s_total %" PRIu64 "\n",
-			metric->name, metric->name, metric->help, metric->name,
-			counter_get(i));
+		g_string_append_printf(text,
+				       "# TYPE auburnreach_%s counter\n"
+				       "# HELP auburnreach_%s %s\n"
+				       "auburnreach_%s_total %" PRIu64 "\n",
+				       metric->name, metric->name, metric->help,
+				       metric->name, counter_get(i));
 	}
 	for (i = 0; i < GAUGE_COUNT; i++) {
 		const struct metric *metric = &gauge_metrics[i];
--- a/src/base/shape.c
+++ b/src/base/shape.c
@@ -1,4 +1,4 @@
-#include "base/shape.h"
+#include "base/shape_internal.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -75,52 +75,6 @@
 				       "0123456789-_.") == strlen(text);
 }
 
-static char **string_at(void *object, const struct field *field)
-{
-	return (char **)((char *)object + field->offset);
-}
-
-static uint32_t *count_at(void *object, const struct field *field)
-{
-	return (uint32_t *)((char *)object + field->count_offset);
-}
-
-static void *list_at(void *object, const struct field *field)
-{
-	void *list;
-
-	memcpy(&list, (char *)object + field->offset, sizeof(list));
-	return list;
-}
-
-static void set_list(void *object, const struct field *field, void *list)
-{
-	memcpy((char *)object + field->offset, &list, sizeof(list));
-}
-
-static void set_number(void *object, const struct field *field, uint64_t number)
-{
-	char *place = (char *)object + field->offset;
-
-	if (field->kind == FIELD_U32)
-		*(uint32_t *)place = (uint32_t)number;
-	else if (field->kind == FIELD_U64)
-		*(uint64_t *)place = number;
-	else
-		*(bool *)place = number != 0;
-}
-
-static uint64_t number_at(const void *object, const struct field *field)
-{
-	const char *place = (const char *)object + field->offset;
-
-	if (field->kind == FIELD_U32)
-		return *(const uint32_t *)place;
-	if (field->kind == FIELD_U64)
-		return *(const uint64_t *)place;
-	return *(const bool *)place;
-}
-
 static bool is_list(const struct field *field)
 {
 	return field->kind == FIELD_NAMES || field->kind == FIELD_ADDRESSES ||
@@ -177,8 +131,7 @@
 }
 
 static void read_number(const struct field *field, json_t *value,
-			const char *path, void *out,
-			struct shape_errors *errors)
+			const char *path, void *out, struct shape_errors *errors)
 {
 	json_int_t number = json_integer_value(value);
 
@@ -211,8 +164,7 @@
 	if (json_array_size(value) < field->min ||
 	    json_array_size(value) > field->max) {
 		shape_error(errors, path,
-			    "has %zu items; allowed are %" PRIu64
-			    " to %" PRIu64,
+			    "has %zu items; allowed are %" PRIu64 " to %" PRIu64,
 			    json_array_size(value), field->min, field->max);
 		return;
 	}
@@ -245,8 +197,7 @@
 	case FIELD_NAME:
 	case FIELD_TEXT:
 	case FIELD_ADDRESS:
-		*string_at(out, field) =
-			read_string(field, value, path, errors);
+		*string_at(out, field) = read_string(field, value, path, errors);
 		break;
 	case FIELD_U32:
 	case FIELD_U64:
@@ -270,8 +221,7 @@
 			 struct shape_errors *errors)
 {
 	if (field->required) {
-		shape_error(errors, path, "is missing; add it (%s)",
-			    field->help);
+		shape_error(errors, path, "is missing; add it (%s)", field->help);
 		return;
 	}
 	switch (field->kind) {
@@ -290,8 +240,7 @@
 	}
 }
 
-static const struct field *find_field(const struct shape *shape,
-				      const char *key)
+static const struct field *find_field(const struct shape *shape, const char *key)
 {
 	size_t i;
 
@@ -312,8 +261,7 @@
 	size_t i;
 
 	if (!json_is_object(value)) {
-		shape_error(errors, *path ? path : "(top)",
-			    "must be an object");
+		shape_error(errors, *path ? path : "(top)", "must be an object");
 		return false;
 	}
 	json_object_foreach (value, key, item) {
@@ -338,166 +286,6 @@
 	return errors->count == before;
 }
 
-static void clear_list(const struct field *field, void *object)
-{
-	uint32_t count = *count_at(object, field);
-	char *list = list_at(object, field);
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		if (field->shape)
-			shape_clear(field->shape,
-				    list + i * field->shape->size);
-		else
-			free(((char **)list)[i]);
-	}
-	free(list);
-	set_list(object, field, NULL);
-	*count_at(object, field) = 0;
-}
-
-void shape_clear(const struct shape *shape, void *object)
-{
-	size_t i;
-
-	for (i = 0; i < shape->field_count; i++) {
-		const struct field *field = &shape->fields[i];
-
-		switch (field->kind) {
-		case FIELD_NAME:
-		case FIELD_TEXT:
-		case FIELD_ADDRESS:
-			free(*string_at(object, field));
-			*string_at(object, field) = NULL;
-			break;
-		case FIELD_NAMES:
-		case FIELD_OBJECTS:
-			clear_list(field, object);
-			break;
-		default:
-			break;
-		}
-	}
-}
-
-static json_t *write_list(const struct field *field, const void *object)
-{
-	uint32_t count = *count_at((void *)object, field);
-	const char *list = list_at((void *)object, field);
-	json_t *array = json_array();
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		if (field->shape)
-			json_array_append_new(
-				array,
-				shape_write(field->shape,
-					    list + i * field->shape->size));
-		else
-			json_array_append_new(
-				array,
-				json_string(((char *const *)list)[i]));
-	}
-	return array;
-}
-
-json_t *shape_write(const struct shape *shape, const void *object)
-{
-	json_t *value = json_object();
-	json_t *item;
-	size_t i;
-
-	for (i = 0; i < shape->field_count; i++) {
-		const struct field *field = &shape->fields[i];
-
-		switch (field->kind) {
-		case FIELD_NAME:
-		case FIELD_TEXT:
-		case FIELD_ADDRESS:
-			item = json_string(
-				*string_at((void *)object, field));
-			break;
-		case FIELD_U32:
-		case FIELD_U64:
-			item = json_integer(
-				(json_int_t)number_at(object, field));
-			break;
-		case FIELD_BOOL:
-			item = json_boolean(number_at(object, field));
-			break;
-		default:
-			item = write_list(field, object);
-			break;
-		}
-		json_object_set_new(value, field->key, item);
-	}
-	return value;
-}
-
-static json_t *schema_of_field(const struct field *field)
-{
-	json_int_t min = (json_int_t)field->min;
-	json_int_t max = (json_int_t)field->max;
-	json_t *items;
-
-	switch (field->kind) {
-	case FIELD_NAME:
-		return json_pack("{s:s,s:s,s:I,s:I}", "type", "string",
-				 "pattern", "^[A-Za-z0-9._-]*$", "minLength",
-				 min, "maxLength", max);
-	case FIELD_TEXT:
-	case FIELD_ADDRESS:
-		return json_pack("{s:s,s:I,s:I}", "type", "string", "minLength",
-				 min, "maxLength", max);
-	case FIELD_U32:
-	case FIELD_U64:
-		return json_pack("{s:s,s:I,s:I}", "type", "integer", "minimum",
-				 min, "maximum", max);
-	case FIELD_BOOL:
-		return json_pack("{s:s}", "type", "boolean");
-	case FIELD_ADDRESSES:
-		items = json_pack("{s:s}", "type", "string");
-		break;
-	case FIELD_NAMES:
-		items = json_pack("{s:s,s:s}", "type", "string", "pattern",
-				  "^[A-Za-z0-9._-]+$");
-		break;
-	default:
-		items = shape_schema(field->shape);
-		break;
-	}
-	return json_pack("{s:s,s:I,s:I,s:o}", "type", "array", "minItems", min,
-			 "maxItems", max, "items", items);
-}
-
-json_t *shape_schema(const struct shape *shape)
-{
-	json_t *properties = json_object();
-	json_t *required = json_array();
-	json_t *item;
-	size_t i;
-
-	for (i = 0; i < shape->field_count; i++) {
-		const struct field *field = &shape->fields[i];
-
-		item = schema_of_field(field);
-		json_object_set_new(item, "description",
-				    json_string(field->help));
-		if (!field->required && (field->kind == FIELD_U32 ||
-					 field->kind == FIELD_U64))
-			json_object_set_new(
-				item, "default",
-				json_integer((json_int_t)field->fallback));
-		json_object_set_new(properties, field->key, item);
-		if (field->required)
-			json_array_append_new(required,
-					      json_string(field->key));
-	}
-	return json_pack("{s:s,s:b,s:o,s:o}", "type", "object",
-			 "additionalProperties", 0, "required", required,
-			 "properties", properties);
-}
-
 json_t *shape_parse(const char *text, size_t text_bytes, size_t bytes_max,
 		    struct shape_errors *errors)
 {
--- a/src/base/shape.h
+++ b/src/base/shape.h
@@ -18,15 +18,15 @@
  */
 
 enum field_kind {
-	FIELD_NAME,    /**< char *: letters, digits, "-", "_", "." */
-	FIELD_TEXT,    /**< char *: any text */
-	FIELD_ADDRESS, /**< char *: "IP:port" */
-	FIELD_U32,     /**< uint32_t */
-	FIELD_U64,     /**< uint64_t */
-	FIELD_BOOL,    /**< bool */
-	FIELD_NAMES,   /**< char **, with a count: list of names */
+	FIELD_NAME,	 /**< char *: letters, digits, "-", "_", "." */
+	FIELD_TEXT,	 /**< char *: any text */
+	FIELD_ADDRESS,	 /**< char *: "IP:port" */
+	FIELD_U32,	 /**< uint32_t */
+	FIELD_U64,	 /**< uint64_t */
+	FIELD_BOOL,	 /**< bool */
+	FIELD_NAMES,	 /**< char **, with a count: list of names */
 	FIELD_ADDRESSES, /**< char **, with a count: list of "IP:port" */
-	FIELD_OBJECTS, /**< array of structures, with a count */
+	FIELD_OBJECTS,	 /**< array of structures, with a count */
 };
 
 struct shape;
--- /dev/null
+++ b/src/base/shape_write.c
@@ -0,0 +1,163 @@
+#include <stdlib.h>
+
+#include "base/shape_internal.h"
+
+/**
+ * @file
+ * What a shape does besides reading: freeing, writing, and its schema.
+ */
+
+static void clear_list(const struct field *field, void *object)
+{
+	uint32_t count = *count_at(object, field);
+	char *list = list_at(object, field);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (field->shape)
+			shape_clear(field->shape, list + i * field->shape->size);
+		else
+			free(((char **)list)[i]);
+	}
+	free(list);
+	set_list(object, field, NULL);
+	*count_at(object, field) = 0;
+}
+
+void shape_clear(const struct shape *shape, void *object)
+{
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		switch (field->kind) {
+		case FIELD_NAME:
+		case FIELD_TEXT:
+		case FIELD_ADDRESS:
+			free(*string_at(object, field));
+			*string_at(object, field) = NULL;
+			break;
+		case FIELD_NAMES:
+		case FIELD_OBJECTS:
+			clear_list(field, object);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+static json_t *write_list(const struct field *field, const void *object)
+{
+	uint32_t count = *count_at((void *)object, field);
+	const char *list = list_at((void *)object, field);
+	json_t *array = json_array();
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (field->shape)
+			json_array_append_new(
+				array,
+				shape_write(field->shape,
+					    list + i * field->shape->size));
+		else
+			json_array_append_new(
+				array, json_string(((char *const *)list)[i]));
+	}
+	return array;
+}
+
+json_t *shape_write(const struct shape *shape, const void *object)
+{
+	json_t *value = json_object();
+	json_t *item;
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		switch (field->kind) {
+		case FIELD_NAME:
+		case FIELD_TEXT:
+		case FIELD_ADDRESS:
+			item = json_string(*string_at((void *)object, field));
+			break;
+		case FIELD_U32:
+		case FIELD_U64:
+			item = json_integer((json_int_t)number_at(object, field));
+			break;
+		case FIELD_BOOL:
+			item = json_boolean(number_at(object, field));
+			break;
+		default:
+			item = write_list(field, object);
+			break;
+		}
+		json_object_set_new(value, field->key, item);
+	}
+	return value;
+}
+
+static json_t *schema_of_field(const struct field *field)
+{
+	json_int_t min = (json_int_t)field->min;
+	json_int_t max = (json_int_t)field->max;
+	json_t *items;
+
+	switch (field->kind) {
+	case FIELD_NAME:
+		return json_pack("{s:s,s:s,s:I,s:I}", "type", "string",
+				 "pattern", "^[A-Za-z0-9._-]*$", "minLength",
+				 min, "maxLength", max);
+	case FIELD_TEXT:
+	case FIELD_ADDRESS:
+		return json_pack("{s:s,s:I,s:I}", "type", "string", "minLength",
+				 min, "maxLength", max);
+	case FIELD_U32:
+	case FIELD_U64:
+		return json_pack("{s:s,s:I,s:I}", "type", "integer", "minimum",
+				 min, "maximum", max);
+	case FIELD_BOOL:
+		return json_pack("{s:s}", "type", "boolean");
+	case FIELD_ADDRESSES:
+		items = json_pack("{s:s}", "type", "string");
+		break;
+	case FIELD_NAMES:
+		items = json_pack("{s:s,s:s}", "type", "string", "pattern",
+				  "^[A-Za-z0-9._-]+$");
+		break;
+	default:
+		items = shape_schema(field->shape);
+		break;
+	}
+	return json_pack("{s:s,s:I,s:I,s:o}", "type", "array", "minItems", min,
+			 "maxItems", max, "items", items);
+}
+
+json_t *shape_schema(const struct shape *shape)
+{
+	json_t *properties = json_object();
+	json_t *required = json_array();
+	json_t *item;
+	size_t i;
+
+	for (i = 0; i < shape->field_count; i++) {
+		const struct field *field = &shape->fields[i];
+
+		item = schema_of_field(field);
+		json_object_set_new(item, "description",
+				    json_string(field->help));
+		if (!field->required &&
+		    (field->kind == FIELD_U32 || field->kind == FIELD_U64))
+			json_object_set_new(item, "default",
+					    json_integer(
+						    (json_int_t)field->fallback));
+		json_object_set_new(properties, field->key, item);
+		if (field->required)
+			json_array_append_new(required, json_string(field->key));
+	}
+	return json_pack("{s:s,s:b,s:o,s:o}", "type", "object",
+			 "additionalProperties", 0, "required", required,
+			 "properties", properties);
+}
--- a/src/ctl/asking.c
+++ b/src/ctl/asking.c
@@ -86,8 +86,7 @@
 		       text_of(item, "service"), text_of(item, "from"),
 		       yes_or_no(item, "settled"));
 		json_array_foreach (json_object_get(item, "bounds"), k, bound)
-			printf("%s%.3f", k ? "," : "",
-			       json_number_value(bound));
+			printf("%s%.3f", k ? "," : "", json_number_value(bound));
 		printf("\n");
 	}
 }
--- a/src/ctl/ctl_defs.h
+++ b/src/ctl/ctl_defs.h
@@ -16,8 +16,8 @@
 /** Exit codes. */
 enum ctl_exit {
 	CTL_DONE = 0,
-	CTL_FAILED = 1,	  /**< refused, in conflict, or out of reach */
-	CTL_USAGE = 2,	  /**< wrong use, or a document that is not valid */
+	CTL_FAILED = 1, /**< refused, in conflict, or out of reach */
+	CTL_USAGE = 2,	/**< wrong use, or a document that is not valid */
 };
 
 /** Options that every command takes. */
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -35,8 +35,9 @@
 	  0 },
 	{ "diff", "FILE", "compare FILE with the document in the store",
 	  ctl_diff, true, false, 1 },
-	{ "publish", "FILE", "publish FILE; its version is the one it was "
-			     "made from",
+	{ "publish", "FILE",
+	  "publish FILE; its version is the one it was "
+	  "made from",
 	  ctl_publish, true, false, 1 },
 	{ "drain", "NAME", "give a backend server or entry VM no new work",
 	  ctl_drain, true, false, 1 },
@@ -109,8 +110,8 @@
 	enum ctl_exit code;
 
 	if (!command)
-		return ctl_fail(CTL_USAGE, "\"%s\" is not a command; see --help",
-				name);
+		return ctl_fail(CTL_USAGE,
+				"\"%s\" is not a command; see --help", name);
 	if (store_address && !shape_is_address(store_address))
 		return ctl_fail(CTL_USAGE, "--store \"%s\" is not IP:PORT",
 				store_address);
@@ -138,10 +139,8 @@
 {
 	struct arg_str *store =
 		arg_str0("s", "store", "IP:PORT", "the platform's store");
-	struct arg_str *entry =
-		arg_str0("e", "entry", "IP:PORT", "any entry VM");
-	struct arg_str *author =
-		arg_str0("a", "author", "NAME", "who publishes");
+	struct arg_str *entry = arg_str0("e", "entry", "IP:PORT", "any entry VM");
+	struct arg_str *author = arg_str0("a", "author", "NAME", "who publishes");
 	struct arg_str *comment =
 		arg_str0("m", "comment", "TEXT", "why it is published");
 	struct arg_lit *undo =
@@ -180,9 +179,9 @@
 		ctl.args = words->sval + 1;
 		ctl.arg_count = words->count - 1;
 		if (!deadline_start()) {
-			code = run_command(
-				&ctl, words->sval[0],
-				given_or(store, getenv("AUBURNREACH_STORE")));
+			code = run_command(&ctl, words->sval[0],
+					   given_or(store,
+						    getenv("AUBURNREACH_STORE")));
 			deadline_stop();
 		}
 	}
--- a/src/ctl/publishing.c
+++ b/src/ctl/publishing.c
@@ -38,8 +38,7 @@
 	return value;
 }
 
-static void print_errors(const struct ctl *ctl,
-			 const struct shape_errors *errors)
+static void print_errors(const struct ctl *ctl, const struct shape_errors *errors)
 {
 	if (ctl->json)
 		ctl_print_json(json_pack("{s:b,s:i,s:s}", "valid", 0, "count",
@@ -71,8 +70,7 @@
 		ctl_print_json(json_pack("{s:b}", "valid", 1));
 	else
 		printf("valid: %u regions, %u services, %u backend servers\n",
-		       doc->region_count, doc->service_count,
-		       doc->backend_count);
+		       doc->region_count, doc->service_count, doc->backend_count);
 	document_free(doc);
 out:
 	json_decref(value);
@@ -161,8 +159,8 @@
 	if (!ctl->entry)
 		return 0;
 	status = ctl_ask_entry(ctl, "/v1/status", true);
-	version = (uint64_t)json_integer_value(
-		json_object_get(status, "version"));
+	version =
+		(uint64_t)json_integer_value(json_object_get(status, "version"));
 	json_decref(status);
 	return version;
 }
@@ -208,8 +206,7 @@
 }
 
 /** Publishes a value made from `base_version`. Takes over `value`. */
-static enum ctl_exit publish(struct ctl *ctl, json_t *value,
-			     uint64_t base_version)
+static enum ctl_exit publish(struct ctl *ctl, json_t *value, uint64_t base_version)
 {
 	struct shape_errors errors = shape_errors_new();
 	struct publication publication = {
@@ -237,8 +234,8 @@
 
 	if (!value)
 		return CTL_USAGE;
-	base_version = (uint64_t)json_integer_value(
-		json_object_get(value, "version"));
+	base_version =
+		(uint64_t)json_integer_value(json_object_get(value, "version"));
 	/* a first publication is made from nothing */
 	if (publish_read(&ctl->store, &held) == STORE_OK && !held)
 		base_version = 0;
@@ -249,8 +246,8 @@
 static enum ctl_exit publish_edit(struct ctl *ctl, json_t *value,
 				  const char *problem)
 {
-	uint64_t base_version = (uint64_t)json_integer_value(
-		json_object_get(value, "version"));
+	uint64_t base_version =
+		(uint64_t)json_integer_value(json_object_get(value, "version"));
 
 	if (!problem)
 		return publish(ctl, value, base_version);
@@ -330,8 +327,8 @@
 		return CTL_DONE;
 	}
 	json_array_foreach (history, i, record) {
-		time_t at = (time_t)(json_integer_value(json_object_get(
-					     record, "unix_ms")) /
+		time_t at = (time_t)(json_integer_value(
+					     json_object_get(record, "unix_ms")) /
 				     1000);
 		char when[32];
 
@@ -340,10 +337,8 @@
 		       " at=%s author=\"%s\" changes=%" JSON_INTEGER_FORMAT
 		       " comment=\"%s\"\n",
 		       json_integer_value(json_object_get(record, "version")),
-		       when,
-		       json_string_value(json_object_get(record, "author")),
-		       json_integer_value(
-			       json_object_get(record, "change_count")),
+		       when, json_string_value(json_object_get(record, "author")),
+		       json_integer_value(json_object_get(record, "change_count")),
 		       json_string_value(json_object_get(record, "comment")));
 	}
 	json_decref(history);
@@ -358,8 +353,7 @@
 	json_object_set_new(
 		schema, "$schema",
 		json_string("https://json-schema.org/draft/2020-12/schema"));
-	json_object_set_new(schema, "title",
-			    json_string("auburnreach document"));
+	json_object_set_new(schema, "title", json_string("auburnreach document"));
 	ctl_print_json(schema);
 	return CTL_DONE;
 }
--- a/src/decide/orders.c
+++ b/src/decide/orders.c
@@ -19,9 +19,7 @@
 
 static void drop_answer(struct orders *orders, struct order *order)
 {
-	orders->answer_bytes -= order->answer.body ?
-					order->answer.body_bytes :
-					0;
+	orders->answer_bytes -= order->answer.body ? order->answer.body_bytes : 0;
 	free(order->answer.body);
 	free(order->answer.content_type);
 	order->answer.body = NULL;
@@ -115,8 +113,7 @@
 		answer->content_type ? strdup(answer->content_type) : NULL;
 	order->answer.body = NULL;
 	if (!answer->body || answer->body_bytes > ANSWER_BYTES_MAX ||
-	    orders->answer_bytes + answer->body_bytes >
-		    orders->answer_bytes_max)
+	    orders->answer_bytes + answer->body_bytes > orders->answer_bytes_max)
 		return;
 	order->answer.body = malloc(answer->body_bytes + 1);
 	if (!order->answer.body)
@@ -172,8 +169,7 @@
 {
 	struct expiry expiry = { orders, now_ms };
 
-	return g_hash_table_foreach_remove(orders->by_key, drop_expired,
-					   &expiry);
+	return g_hash_table_foreach_remove(orders->by_key, drop_expired, &expiry);
 }
 
 uint32_t orders_count(const struct orders *orders)
@@ -181,8 +177,7 @@
 	return g_hash_table_size(orders->by_key);
 }
 
-void order_key_prefix(const struct order_key *parts, char *text,
-		      size_t text_bytes)
+void order_key_prefix(const struct order_key *parts, char *text, size_t text_bytes)
 {
 	snprintf(text, text_bytes, "%s~%" PRIx64 "~%c~%" PRIx64 "~",
 		 parts->home, parts->incarnation, parts->claimed ? 'c' : 'u',
--- a/src/decide/orders.h
+++ b/src/decide/orders.h
@@ -20,19 +20,19 @@
 
 /** What to do with a request that carries a key. */
 enum order_step {
-	ORDER_START,	   /**< first of its key, or not run so far: run it */
-	ORDER_JOIN,	   /**< a run is in progress: wait for its outcome */
-	ORDER_REPLAY,	   /**< the outcome is known: repeat it */
-	ORDER_KEY_REUSED,  /**< the key belongs to another request: refuse */
-	ORDER_TABLE_FULL,  /**< no room to remember it: refuse */
+	ORDER_START,	  /**< first of its key, or not run so far: run it */
+	ORDER_JOIN,	  /**< a run is in progress: wait for its outcome */
+	ORDER_REPLAY,	  /**< the outcome is known: repeat it */
+	ORDER_KEY_REUSED, /**< the key belongs to another request: refuse */
+	ORDER_TABLE_FULL, /**< no room to remember it: refuse */
 };
 
 /** An answer kept for repeats. */
 struct order_answer {
 	enum verdict verdict;
-	uint32_t status;     /**< HTTP status; 0: none came */
-	char *content_type;  /**< may be NULL */
-	char *body;	     /**< NULL: too long to keep, or none */
+	uint32_t status;    /**< HTTP status; 0: none came */
+	char *content_type; /**< may be NULL */
+	char *body;	    /**< NULL: too long to keep, or none */
 	uint32_t body_bytes;
 };
 
@@ -47,7 +47,7 @@
 	char key[ORDER_KEY_BYTES_MAX];
 	uint64_t digest; /**< of method, path and body */
 	enum order_claim claim;
-	bool idle;	/**< proven not run: a repeat may start it */
+	bool idle; /**< proven not run: a repeat may start it */
 	bool finished;
 	struct order_answer answer;
 	int64_t expires_ms;
@@ -97,9 +97,9 @@
 
 /** Parts of a key that a look-up handed out. */
 struct order_key {
-	char home[65];	     /**< name of the entry VM */
+	char home[65];	      /**< name of the entry VM */
 	uint64_t incarnation; /**< of that VM's process */
-	bool claimed;	     /**< a claim in the store precedes each run */
+	bool claimed;	      /**< a claim in the store precedes each run */
 	int64_t issued_unix_s;
 };
 
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -93,10 +93,9 @@
 	a = nth_candidate(choice, (uint32_t)(draw >> DRAW_BITS) % candidates,
 			  near);
 	b = nth_candidate(choice, (uint32_t)draw % candidates, near);
-	return is_freer(&choice->servers[b], &choice->servers[a],
-			choice->now_ms) ?
-		       b :
-		       a;
+	return is_freer(&choice->servers[b], &choice->servers[a], choice->now_ms)
+		       ? b
+		       : a;
 }
 
 /** With every server ejected, the one that comes back first is tried. */
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -21,19 +21,19 @@
 struct pick_server {
 	uint32_t slots;
 	uint32_t in_flight;
-	bool near;		 /**< in this entry VM's failure domain */
-	uint8_t leaving;	 /**< bits of enum pick_leaving */
-	uint32_t failures;	 /**< in a row */
+	bool near;		  /**< in this entry VM's failure domain */
+	uint8_t leaving;	  /**< bits of enum pick_leaving */
+	uint32_t failures;	  /**< in a row */
 	int64_t ejected_until_ms; /**< 0: not ejected */
-	int64_t full_until_ms;	 /**< refused for lack of slots until then */
-	int64_t warm_from_ms;	 /**< slow start began; 0: warm */
+	int64_t full_until_ms;	  /**< refused for lack of slots until then */
+	int64_t warm_from_ms;	  /**< slow start began; 0: warm */
 };
 
 /** Outcome of an attempt as the choice of later ones sees it. */
 enum pick_outcome {
 	PICK_ANSWERED,
-	PICK_REFUSED, /**< refused before running: no free slot */
-	PICK_FAILED,  /**< no connection, no answer or a broken one */
+	PICK_REFUSED,	/**< refused before running: no free slot */
+	PICK_FAILED,	/**< no connection, no answer or a broken one */
 	PICK_ABANDONED, /**< the attempt ended for a reason of the caller */
 };
 
--- a/src/decide/quarantine.c
+++ b/src/decide/quarantine.c
@@ -10,8 +10,7 @@
 	for (i = 0; i < QUARANTINE_ENTRIES; i++) {
 		struct quarantine_entry *entry = &quarantine->entries[i];
 
-		if (entry->fingerprint == fingerprint &&
-		    entry->until_ms > now_ms)
+		if (entry->fingerprint == fingerprint && entry->until_ms > now_ms)
 			return entry;
 	}
 	return NULL;
@@ -19,8 +18,7 @@
 
 /** A free or expired entry, or else the one that expires first. */
 static struct quarantine_entry *claim_entry(struct quarantine *quarantine,
-					    uint64_t fingerprint,
-					    int64_t now_ms)
+					    uint64_t fingerprint, int64_t now_ms)
 {
 	struct quarantine_entry *oldest = &quarantine->entries[0];
 	uint32_t i;
--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -11,8 +11,7 @@
 
 static uint64_t score(const struct rank_candidate *candidate, uint64_t block)
 {
-	return XXH64(&candidate->name_hash, sizeof(candidate->name_hash),
-		     block);
+	return XXH64(&candidate->name_hash, sizeof(candidate->name_hash), block);
 }
 
 static bool is_chosen(uint32_t index, const uint32_t *chosen, uint32_t count)
@@ -42,8 +41,8 @@
 			continue;
 		if (is_chosen(candidates[i].index, chosen, chosen_count))
 			continue;
-		if (apart_from && candidates[i].failure_domain ==
-					  apart_from->failure_domain)
+		if (apart_from &&
+		    candidates[i].failure_domain == apart_from->failure_domain)
 			continue;
 		best = &candidates[i];
 		best_score = own;
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -10,9 +10,9 @@
  */
 
 struct rank_candidate {
-	uint64_t name_hash;	  /**< rank_hash() of the VM's name */
+	uint64_t name_hash;	 /**< rank_hash() of the VM's name */
 	uint32_t failure_domain; /**< any number that is equal within one */
-	uint32_t index;		  /**< the caller's own number for the VM */
+	uint32_t index;		 /**< the caller's own number for the VM */
 };
 
 /** @return a hash of a name or block. */
@@ -26,7 +26,6 @@
  * @return how many were chosen.
  */
 uint32_t rank_choose(const struct rank_candidate *candidates, uint32_t count,
-		     uint64_t block_hash, uint32_t *chosen,
-		     uint32_t chosen_max);
+		     uint64_t block_hash, uint32_t *chosen, uint32_t chosen_max);
 
 #endif
--- a/src/decide/steer.c
+++ b/src/decide/steer.c
@@ -27,8 +27,7 @@
 			continue;
 		}
 		for (k = 0; k < steering->share_count; k++)
-			if (!strcmp(steering->shares[k].to,
-				    doc->regions[i].name))
+			if (!strcmp(steering->shares[k].to, doc->regions[i].name))
 				sum += steering->shares[k].permille /
 				       (double)PERMILLE;
 		bound[i] = sum;
@@ -36,8 +35,7 @@
 	bound[doc->region_count - 1] = 1;
 }
 
-void steer_set_target(struct steer_position *position,
-		      const struct document *doc,
+void steer_set_target(struct steer_position *position, const struct document *doc,
 		      const struct doc_steering *steering, uint32_t from)
 {
 	double span_ms = doc->lookup_ttl_ms;
@@ -182,7 +180,7 @@
 {
 	int region = interval_of(position, point);
 
-	if (usable & (1ULL << region))
+	if (region >= 0 && (usable & (1ULL << region)))
 		return region;
 	return spread_lost(position, point, usable);
 }
@@ -192,6 +190,5 @@
 	XXH64_hash_t seed = XXH64(service, strlen(service), 0);
 	XXH64_hash_t hash = XXH64(block, strlen(block), seed);
 
-	return (double)(hash >> (64 - POINT_BITS)) /
-	       (double)(1ULL << POINT_BITS);
+	return (double)(hash >> (64 - POINT_BITS)) / (double)(1ULL << POINT_BITS);
 }
--- a/src/decide/steer.h
+++ b/src/decide/steer.h
@@ -34,8 +34,7 @@
  * @param steering NULL: the region `from` serves all its callers.
  * @param from index of the callers' region.
  */
-void steer_set_target(struct steer_position *position,
-		      const struct document *doc,
+void steer_set_target(struct steer_position *position, const struct document *doc,
 		      const struct doc_steering *steering, uint32_t from);
 
 /** Puts the position on its target at once: for a fleet's first document. */
--- a/src/document/diff.c
+++ b/src/document/diff.c
@@ -19,18 +19,17 @@
 {
 	if (json_array_size(found) >= DIFFERENCES_MAX)
 		return;
-	json_array_append_new(
-		found, json_pack("{s:s,s:O,s:O}", "path", path, "old",
-				 old_value ? old_value : json_null(), "new",
-				 new_value ? new_value : json_null()));
+	json_array_append_new(found,
+			      json_pack("{s:s,s:O,s:O}", "path", path, "old",
+					old_value ? old_value : json_null(), "new",
+					new_value ? new_value : json_null()));
 }
 
 /** Writes an item's label among its siblings. */
 static void label_of(json_t *item, size_t index, char *label, size_t bytes)
 {
 	const char *name = json_string_value(json_object_get(item, "name"));
-	const char *service =
-		json_string_value(json_object_get(item, "service"));
+	const char *service = json_string_value(json_object_get(item, "service"));
 	const char *from = json_string_value(json_object_get(item, "from"));
 	const char *to = json_string_value(json_object_get(item, "to"));
 
@@ -111,8 +110,7 @@
 			continue;
 		g_snprintf(key_path, sizeof(key_path), "%s%s%s", path,
 			   *path ? "." : "", key);
-		compare(key_path, item, json_object_get(new_object, key),
-			found);
+		compare(key_path, item, json_object_get(new_object, key), found);
 	}
 	json_object_foreach (new_object, key, item) {
 		if (is_left_out(path, key) || json_object_get(old_object, key))
@@ -150,8 +148,7 @@
 	size_t shorter = a_bytes < b_bytes ? a_bytes : b_bytes;
 	char next = a_bytes < b_bytes ? b[shorter] : a[shorter];
 
-	return !strncmp(a, b, shorter) &&
-	       (!next || next == '.' || next == '[');
+	return !strncmp(a, b, shorter) && (!next || next == '.' || next == '[');
 }
 
 json_t *diff_conflicts(json_t *mine, json_t *theirs)
@@ -162,10 +159,10 @@
 
 	json_array_foreach (theirs, i, other) {
 		json_array_foreach (mine, k, own) {
-			if (!paths_touch(json_string_value(json_object_get(
-						 own, "path")),
-					 json_string_value(json_object_get(
-						 other, "path"))))
+			if (!paths_touch(json_string_value(
+						 json_object_get(own, "path")),
+					 json_string_value(
+						 json_object_get(other, "path"))))
 				continue;
 			json_array_append(conflicts, other);
 			break;
@@ -194,9 +191,9 @@
 	size_t i;
 
 	json_array_foreach (differences, i, item) {
-		g_string_append_printf(
-			text, "%s: ",
-			json_string_value(json_object_get(item, "path")));
+		g_string_append_printf(text, "%s: ",
+				       json_string_value(
+					       json_object_get(item, "path")));
 		append_value(text, json_object_get(item, "old"));
 		g_string_append(text, " -> ");
 		append_value(text, json_object_get(item, "new"));
--- a/src/document/document.c
+++ b/src/document/document.c
@@ -4,48 +4,43 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NAME(type, member, key_, required_, help_)                             \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_NAME,                                                  \
-	  .offset = offsetof(struct type, member),                             \
-	  .required = required_,                                               \
-	  .min = (required_) ? 1 : 0,                                          \
-	  .max = 64,                                                           \
-	  .help = help_ }
-#define TEXT(type, member, key_, bytes_, help_)                                \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_TEXT,                                                  \
-	  .offset = offsetof(struct type, member),                             \
-	  .max = bytes_,                                                       \
-	  .help = help_ }
-#define U32(type, member, key_, min_, max_, fallback_, help_)                  \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_U32,                                                   \
-	  .offset = offsetof(struct type, member),                             \
-	  .min = min_,                                                         \
-	  .max = max_,                                                         \
-	  .fallback = fallback_,                                               \
-	  .help = help_ }
-#define BOOL(type, member, key_, fallback_, help_)                             \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_BOOL,                                                  \
-	  .offset = offsetof(struct type, member),                             \
-	  .fallback = fallback_,                                               \
-	  .help = help_ }
-#define LIST(type, member, count, key_, min_, max_, shape_, help_)             \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_OBJECTS,                                               \
-	  .offset = offsetof(struct type, member),                             \
-	  .count_offset = offsetof(struct type, count),                        \
-	  .required = (min_) > 0,                                              \
-	  .min = min_,                                                         \
-	  .max = max_,                                                         \
-	  .shape = shape_,                                                     \
-	  .help = help_ }
-#define SHAPE(type, fields_)                                                   \
-	{ .fields = fields_,                                                   \
-	  .field_count = ARRAY_SIZE(fields_),                                  \
-	  .size = sizeof(struct type) }
+#define NAME(type, member, key_, required_, help_)                              \
+	{                                                                       \
+		.key = key_, .kind = FIELD_NAME,                                \
+		.offset = offsetof(struct type, member), .required = required_, \
+		.min = (required_) ? 1 : 0, .max = 64, .help = help_            \
+	}
+#define TEXT(type, member, key_, bytes_, help_)                         \
+	{                                                               \
+		.key = key_, .kind = FIELD_TEXT,                        \
+		.offset = offsetof(struct type, member), .max = bytes_, \
+		.help = help_                                           \
+	}
+#define U32(type, member, key_, min_, max_, fallback_, help_)         \
+	{                                                             \
+		.key = key_, .kind = FIELD_U32,                       \
+		.offset = offsetof(struct type, member), .min = min_, \
+		.max = max_, .fallback = fallback_, .help = help_     \
+	}
+#define BOOL(type, member, key_, fallback_, help_)       \
+	{                                                \
+		.key = key_, .kind = FIELD_BOOL,         \
+		.offset = offsetof(struct type, member), \
+		.fallback = fallback_, .help = help_     \
+	}
+#define LIST(type, member, count, key_, min_, max_, shape_, help_) \
+	{                                                          \
+		.key = key_, .kind = FIELD_OBJECTS,                \
+		.offset = offsetof(struct type, member),           \
+		.count_offset = offsetof(struct type, count),      \
+		.required = (min_) > 0, .min = min_, .max = max_,  \
+		.shape = shape_, .help = help_                     \
+	}
+#define SHAPE(type, fields_)                                           \
+	{                                                              \
+		.fields = fields_, .field_count = ARRAY_SIZE(fields_), \
+		.size = sizeof(struct type)                            \
+	}
 
 static const struct field region_fields[] = {
 	NAME(doc_region, name, "name", true, "the region's name"),
@@ -127,9 +122,8 @@
 static const struct field steering_fields[] = {
 	NAME(doc_steering, service, "service", true, "the service"),
 	NAME(doc_steering, from, "from", true, "the callers' region"),
-	LIST(doc_steering, shares, share_count, "shares", 1,
-	     DOCUMENT_REGIONS_MAX, &share_shape,
-	     "regions that serve them; the shares sum to 1000"),
+	LIST(doc_steering, shares, share_count, "shares", 1, DOCUMENT_REGIONS_MAX,
+	     &share_shape, "regions that serve them; the shares sum to 1000"),
 	U32(doc_steering, move_cap_permille, "move_cap_permille", 1, PERMILLE,
 	    50, "traffic that may move in one window, in thousandths"),
 	U32(doc_steering, window_ms, "window_ms", 100, 86400000, 10000,
@@ -258,8 +252,7 @@
 			    "\"%s\" is used twice; names must be unique", name);
 }
 
-static void check_regions(const struct document *doc,
-			  struct shape_errors *errors)
+static void check_regions(const struct document *doc, struct shape_errors *errors)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	char path[96];
@@ -306,8 +299,7 @@
 	}
 }
 
-static void check_services(const struct document *doc,
-			   struct shape_errors *errors)
+static void check_services(const struct document *doc, struct shape_errors *errors)
 {
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTable *prefixes = g_hash_table_new(g_str_hash, g_str_equal);
@@ -337,8 +329,7 @@
 	g_hash_table_destroy(prefixes);
 }
 
-static void check_backends(const struct document *doc,
-			   struct shape_errors *errors)
+static void check_backends(const struct document *doc, struct shape_errors *errors)
 {
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTable *addresses = g_hash_table_new(g_str_hash, g_str_equal);
@@ -419,8 +410,7 @@
 	g_hash_table_destroy(seen);
 }
 
-static void check_steering(const struct document *doc,
-			   struct shape_errors *errors)
+static void check_steering(const struct document *doc, struct shape_errors *errors)
 {
 	char path[64];
 	uint32_t i;
@@ -446,8 +436,7 @@
 }
 
 /** Checks what spans several fields. Needs well-shaped parts. */
-static void check_meaning(const struct document *doc,
-			  struct shape_errors *errors)
+static void check_meaning(const struct document *doc, struct shape_errors *errors)
 {
 	check_regions(doc, errors);
 	check_links(doc, errors);
@@ -476,8 +465,7 @@
 struct document *document_parse(const char *text, size_t text_bytes,
 				struct shape_errors *errors)
 {
-	json_t *value =
-		shape_parse(text, text_bytes, DOCUMENT_BYTES_MAX, errors);
+	json_t *value = shape_parse(text, text_bytes, DOCUMENT_BYTES_MAX, errors);
 	struct document *doc;
 
 	if (!value)
--- a/src/document/edit.c
+++ b/src/document/edit.c
@@ -73,12 +73,11 @@
 		json_array_append_new(list, json_pack("{s:s,s:O}", "to", region,
 						      "permille", value));
 	if (!steering) {
-		steering = json_pack("{s:s,s:s}", "service", service, "from",
-				     from);
+		steering =
+			json_pack("{s:s,s:s}", "service", service, "from", from);
 		if (!json_object_get(doc, "steering"))
 			json_object_set_new(doc, "steering", json_array());
-		json_array_append_new(json_object_get(doc, "steering"),
-				      steering);
+		json_array_append_new(json_object_get(doc, "steering"), steering);
 	}
 	json_object_set_new(steering, "shares", list);
 	return NULL;
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -80,16 +80,15 @@
 		snprintf(incarnation, sizeof(incarnation), "%llx",
 			 (unsigned long long)member->incarnation);
 		json_array_append_new(
-			list,
-			json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I}", "name",
-				  member->name, "failure_domain",
-				  member->failure_domain, "address",
-				  member->http_address, "state",
-				  state_names[member->state], "incarnation",
-				  incarnation, "leaving",
-				  (member->flags & MEMBER_LEAVING) != 0,
-				  "version",
-				  (json_int_t)member->document_version));
+			list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I}", "name",
+					member->name, "failure_domain",
+					member->failure_domain, "address",
+					member->http_address, "state",
+					state_names[member->state],
+					"incarnation", incarnation, "leaving",
+					(member->flags & MEMBER_LEAVING) != 0,
+					"version",
+					(json_int_t)member->document_version));
 	}
 	return list;
 }
@@ -101,10 +100,9 @@
 
 	for (i = 0; i < view->version_count; i++)
 		json_array_append_new(
-			list,
-			json_pack("{s:I,s:i}", "version",
-				  (json_int_t)view->versions[i].version,
-				  "count", (int)view->versions[i].count));
+			list, json_pack("{s:I,s:i}", "version",
+					(json_int_t)view->versions[i].version,
+					"count", (int)view->versions[i].count));
 	return list;
 }
 
@@ -116,15 +114,14 @@
 
 	for (i = 0; backends_state_at(entry->backends, i, &state); i++)
 		json_array_append_new(
-			list,
-			json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:i}", "name",
-				  state.name, "service", state.service,
-				  "address", state.address, "slots",
-				  (int)state.server.slots, "in_flight",
-				  (int)state.server.in_flight, "leaving",
-				  (int)state.server.leaving, "ejected",
-				  state.ejected, "failures",
-				  (int)state.server.failures));
+			list, json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:i}",
+					"name", state.name, "service",
+					state.service, "address", state.address,
+					"slots", (int)state.server.slots,
+					"in_flight", (int)state.server.in_flight,
+					"leaving", (int)state.server.leaving,
+					"ejected", state.ejected, "failures",
+					(int)state.server.failures));
 	return list;
 }
 
@@ -142,11 +139,11 @@
 		for (k = 0; k < position.region_count; k++)
 			json_array_append_new(bounds,
 					      json_real(position.bound[k]));
-		json_array_append_new(
-			list, json_pack("{s:s,s:s,s:b,s:o}", "service", service,
-					"from", from, "settled",
-					steer_settled(&position), "bounds",
-					bounds));
+		json_array_append_new(list, json_pack("{s:s,s:s,s:b,s:o}",
+						      "service", service,
+						      "from", from, "settled",
+						      steer_settled(&position),
+						      "bounds", bounds));
 	}
 	return list;
 }
@@ -161,15 +158,14 @@
 		connection, 200, NULL,
 		json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:I,s:o,s:o,s:o,s:o}",
 			  "name", entry->settings.name, "failure_domain",
-			  entry->settings.failure_domain, "program",
-			  ABR_VERSION, "version",
-			  (json_int_t)current_version(entry->current), "up_ms",
-			  (json_int_t)up_ms, "leaving", (int)entry->leaving,
-			  "unclaimed", (int)entry->unclaimed, "in_flight",
-			  (json_int_t)gauge_get(GAUGE_IN_FLIGHT), "versions",
-			  versions_json(view), "members", members_json(view),
-			  "backends", backends_json(entry), "steering",
-			  steering_json(entry)));
+			  entry->settings.failure_domain, "program", ABR_VERSION,
+			  "version", (json_int_t)current_version(entry->current),
+			  "up_ms", (json_int_t)up_ms, "leaving",
+			  (int)entry->leaving, "unclaimed", (int)entry->unclaimed,
+			  "in_flight", (json_int_t)gauge_get(GAUGE_IN_FLIGHT),
+			  "versions", versions_json(view), "members",
+			  members_json(view), "backends", backends_json(entry),
+			  "steering", steering_json(entry)));
 	peer_view_release(view);
 	return 200;
 }
@@ -232,8 +228,7 @@
 	mg_set_request_handler(server, "/metrics$", handle_metrics, entry);
 	mg_set_request_handler(server, "/v1/status$", handle_status, entry);
 	mg_set_request_handler(server, "/v1/explain$", handle_explain, entry);
-	mg_set_request_handler(server, "/v1/document$", handle_document,
-			       entry);
+	mg_set_request_handler(server, "/v1/document$", handle_document, entry);
 	if (entry->settings.test_seams)
 		mg_set_request_handler(server, "/v1/test/cut$", handle_cut,
 				       entry);
--- a/src/entry/claims.c
+++ b/src/entry/claims.c
@@ -66,10 +66,10 @@
 	int outcome = VERDICT_MAY_HAVE_RUN;
 	bool read;
 
-	read = json && !json_unpack(json, "{s:s,s:s,s:s,s:s,s:i}",
-				    "holder", &holder, "incarnation",
-				    &incarnation, "digest", &digest, "nonce",
-				    &nonce, "outcome", &outcome);
+	read = json &&
+	       !json_unpack(json, "{s:s,s:s,s:s,s:s,s:i}", "holder", &holder,
+			    "incarnation", &incarnation, "digest", &digest,
+			    "nonce", &nonce, "outcome", &outcome);
 	memset(record, 0, sizeof(*record));
 	record->outcome = VERDICT_MAY_HAVE_RUN;
 	if (read) {
@@ -141,8 +141,8 @@
 	entry->unclaimed = unclaimed;
 	peer_set_flag(entry->peer, MEMBER_UNCLAIMED, unclaimed);
 	log_warn("order", "%s",
-		 unclaimed ? "store is away: new keys run without claims" :
-			     "store is back: new keys are claimed");
+		 unclaimed ? "store is away: new keys run without claims"
+			   : "store is back: new keys are claimed");
 }
 
 static void write_batch(struct claims *claims, struct claim **batch,
@@ -223,8 +223,7 @@
 	claims->ring = ring_new(RING_SLOTS);
 	pthread_mutex_init(&claims->lock, NULL);
 	pthread_cond_init(&claims->written, NULL);
-	if (claims->ring &&
-	    !pthread_create(&claims->thread, NULL, run, claims))
+	if (claims->ring && !pthread_create(&claims->thread, NULL, run, claims))
 		return claims;
 	ring_free(claims->ring);
 	free(claims);
@@ -257,8 +256,7 @@
 	struct store_value value;
 	enum claims_result result = CLAIMS_OTHERS;
 
-	if (entry->store.get(entry->store.context, claim->key, &value) !=
-	    STORE_OK)
+	if (entry->store.get(entry->store.context, claim->key, &value) != STORE_OK)
 		return CLAIMS_UNKNOWN;
 	if (!value.bytes)
 		result = CLAIMS_UNKNOWN;
@@ -270,8 +268,7 @@
 	return result;
 }
 
-static enum store_result wait_written(struct claims *claims,
-				      struct claim *claim)
+static enum store_result wait_written(struct claims *claims, struct claim *claim)
 {
 	if (!ring_push(claims->ring, claim))
 		return STORE_UNREACHABLE;
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -23,7 +23,7 @@
 	char holder[65];
 	uint64_t incarnation;
 	uint64_t digest;
-	uint64_t nonce; /**< tells this take from the holder's others */
+	uint64_t nonce;	      /**< tells this take from the holder's others */
 	enum verdict outcome; /**< MAY_HAVE_RUN until an outcome is recorded */
 };
 
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -57,8 +57,7 @@
 static struct attempt judge_answer(const struct exchange *exchange,
 				   const struct http_answer *answer)
 {
-	struct attempt attempt = { VERDICT_RAN, PICK_ANSWERED, true,
-				   "answered" };
+	struct attempt attempt = { VERDICT_RAN, PICK_ANSWERED, true, "answered" };
 
 	if (!forward_answer_matches(exchange, answer)) {
 		attempt.verdict = VERDICT_MAY_HAVE_RUN;
@@ -235,15 +234,14 @@
 		counter_add(COUNTER_ANSWERED, 1);
 		return;
 	}
-	forward_refuse(exchange, worst,
-		       worst == VERDICT_NOT_RUN ? 503 : 504, attempt->what);
+	forward_refuse(exchange, worst, worst == VERDICT_NOT_RUN ? 503 : 504,
+		       attempt->what);
 }
 
 /** Waits for a slot no longer than leaves time to run the request. */
 #define QUEUE_PART 2
 
-static struct backend *take(struct entry *entry,
-			    const struct exchange *exchange,
+static struct backend *take(struct entry *entry, const struct exchange *exchange,
 			    const uint32_t *tried, uint32_t *index,
 			    enum backends_refusal *refusal)
 {
@@ -288,9 +286,8 @@
 		explain_add(entry->explain, exchange->request_id,
 			    "server %s service=%s server=%s attempt=%u "
 			    "verdict=%s",
-			    attempt.what, exchange->service->name,
-			    backend->name, exchange->attempts,
-			    verdict_text(attempt.verdict));
+			    attempt.what, exchange->service->name, backend->name,
+			    exchange->attempts, verdict_text(attempt.verdict));
 		if (attempt.outcome == PICK_REFUSED)
 			counter_add(COUNTER_REFUSED_BY_BACKEND, 1);
 		backends_finish(entry->backends, backend, attempt.outcome);
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -26,7 +26,7 @@
 	uint32_t body_bytes;
 	int64_t deadline_ns;
 	bool idempotent;
-	bool passed; /**< another entry VM passed it on */
+	bool passed;	      /**< another entry VM passed it on */
 	uint64_t fingerprint; /**< of method, path and body */
 
 	enum verdict verdict;
--- a/src/entry/lookup.c
+++ b/src/entry/lookup.c
@@ -72,8 +72,7 @@
 	for (i = 0; i < lookup->view->member_count; i++) {
 		const struct member *member = &lookup->view->members[i];
 
-		region = document_region_of_domain(doc,
-						   member->failure_domain);
+		region = document_region_of_domain(doc, member->failure_domain);
 		if (region >= 0 && is_offered(doc, member))
 			with_entry |= 1ULL << region;
 	}
@@ -83,12 +82,11 @@
 		if (backend->leaving ||
 		    strcmp(backend->service, lookup->service->name))
 			continue;
-		region = document_region_of_domain(doc,
-						   backend->failure_domain);
+		region = document_region_of_domain(doc, backend->failure_domain);
 		with_server |= 1ULL << region;
 	}
-	own = document_region_of_domain(
-		doc, lookup->entry->settings.failure_domain);
+	own = document_region_of_domain(doc,
+					lookup->entry->settings.failure_domain);
 	backends_load(lookup->entry->backends, lookup->service->name, &load);
 	if (own >= 0 && !load.usable_slots)
 		with_server &= ~(1ULL << own);
@@ -146,29 +144,28 @@
 		const struct member *member =
 			&lookup->view->members[lookup->chosen[i]];
 
-		json_array_append_new(
-			entries,
-			json_pack("{s:s,s:s,s:s}", "name", member->name,
-				  "address", member->http_address,
-				  "failure_domain", member->failure_domain));
+		json_array_append_new(entries, json_pack("{s:s,s:s,s:s}", "name",
+							 member->name, "address",
+							 member->http_address,
+							 "failure_domain",
+							 member->failure_domain));
 	}
-	return json_pack(
-		"{s:s,s:s,s:s,s:s,s:I,s:i,s:o,s:o}", "service",
-		lookup->service->name, "block", lookup->block, "from",
-		lookup->from, "region",
-		lookup->doc->regions[lookup->region].name, "version",
-		(json_int_t)lookup->doc->version, "ttl_ms",
-		(int)lookup->doc->lookup_ttl_ms, "entries", entries,
-		"order_home",
-		home_json(&lookup->view->members[lookup->chosen[0]]));
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:i,s:o,s:o}", "service",
+			 lookup->service->name, "block", lookup->block, "from",
+			 lookup->from, "region",
+			 lookup->doc->regions[lookup->region].name, "version",
+			 (json_int_t)lookup->doc->version, "ttl_ms",
+			 (int)lookup->doc->lookup_ttl_ms, "entries", entries,
+			 "order_home",
+			 home_json(&lookup->view->members[lookup->chosen[0]]));
 }
 
 static void refuse(struct mg_connection *connection, uint32_t status,
 		   const char *what, const char *remedy)
 {
 	counter_add(COUNTER_LOOKUPS_REFUSED, 1);
-	http_reply_error(connection, status,
-			 status == 503 ? RETRY_AFTER : NULL, what, remedy);
+	http_reply_error(connection, status, status == 503 ? RETRY_AFTER : NULL,
+			 what, remedy);
 }
 
 /** Reads the query. @return false after a refusal. */
@@ -193,8 +190,8 @@
 		snprintf(address, sizeof(address), "%s",
 			 mg_get_request_info(connection)->remote_addr);
 	block_of(address, lookup->block);
-	region = document_region_of_domain(
-		doc, lookup->entry->settings.failure_domain);
+	region = document_region_of_domain(doc,
+					   lookup->entry->settings.failure_domain);
 	if (http_query(connection, "from", from, sizeof(from)))
 		region = document_region_index(doc, from);
 	if (region >= 0) {
--- a/src/entry/order.c
+++ b/src/entry/order.c
@@ -44,10 +44,9 @@
 	memset(keyed, 0, sizeof(*keyed));
 	keyed->key = key;
 	keyed->issued = order_key_parse(key, &keyed->parts);
-	keyed->home_is_self =
-		keyed->issued &&
-		!strcmp(keyed->parts.home, entry->settings.name) &&
-		keyed->parts.incarnation == entry->incarnation;
+	keyed->home_is_self = keyed->issued &&
+			      !strcmp(keyed->parts.home, entry->settings.name) &&
+			      keyed->parts.incarnation == entry->incarnation;
 }
 
 static bool needs_claim(const struct keyed *keyed)
@@ -55,13 +54,11 @@
 	return !keyed->issued || keyed->parts.claimed;
 }
 
-static bool is_too_old(const struct exchange *exchange,
-		       const struct keyed *keyed)
+static bool is_too_old(const struct exchange *exchange, const struct keyed *keyed)
 {
-	int64_t age_s =
-		clock_unix_ms() / MS_PER_S - keyed->parts.issued_unix_s;
-	int64_t life_s = exchange->service->order_memory_ms / MS_PER_S /
-			 KEY_LIFE_PART;
+	int64_t age_s = clock_unix_ms() / MS_PER_S - keyed->parts.issued_unix_s;
+	int64_t life_s =
+		exchange->service->order_memory_ms / MS_PER_S / KEY_LIFE_PART;
 
 	return keyed->issued && (age_s > life_s || age_s < -CLOCK_SKEW_S);
 }
@@ -92,8 +89,7 @@
 		return;
 	}
 	answer->status = from->status;
-	answer->body = g_strndup(from->body ? from->body : "",
-				 from->body_bytes);
+	answer->body = g_strndup(from->body ? from->body : "", from->body_bytes);
 	answer->body_bytes = from->body_bytes;
 	if (!from->content_type)
 		return;
@@ -103,8 +99,7 @@
 }
 
 /** Waits for the run of the same key. The lock is held. */
-static void join(struct entry *entry, struct exchange *exchange,
-		 const char *key)
+static void join(struct entry *entry, struct exchange *exchange, const char *key)
 {
 	const struct order *order;
 	struct timespec until = {
@@ -140,8 +135,7 @@
 	struct order_answer answer = {
 		.verdict = exchange->verdict,
 		.status = from->status,
-		.content_type =
-			(char *)http_answer_header(from, "Content-Type"),
+		.content_type = (char *)http_answer_header(from, "Content-Type"),
 		.body = from->body,
 		.body_bytes = from->body_bytes,
 	};
@@ -165,8 +159,7 @@
 	CLAIMED_FORGET, /* the same, and this process keeps no memory of it */
 };
 
-static enum claimed refuse_claimed(struct entry *entry,
-				   struct exchange *exchange,
+static enum claimed refuse_claimed(struct entry *entry, struct exchange *exchange,
 				   const struct claims_record *record)
 {
 	if (record->holder[0] && record->digest != exchange->fingerprint) {
@@ -200,8 +193,7 @@
 	if (!pass_to_home(entry, exchange, &holder))
 		return refuse_claimed(entry, exchange, record);
 	/* unless it ran, the holder is to be asked again next time */
-	return exchange->verdict == VERDICT_RAN ? CLAIMED_ENDED :
-						  CLAIMED_FORGET;
+	return exchange->verdict == VERDICT_RAN ? CLAIMED_ENDED : CLAIMED_FORGET;
 }
 
 /**
@@ -210,8 +202,7 @@
  * @param claim what the table remembers; receives what is known now.
  */
 static enum claimed claim_key(struct entry *entry, struct exchange *exchange,
-			      const struct keyed *keyed,
-			      enum order_claim *claim)
+			      const struct keyed *keyed, enum order_claim *claim)
 {
 	struct claims_record record;
 
--- a/src/entry/pass.c
+++ b/src/entry/pass.c
@@ -43,11 +43,10 @@
 }
 
 static enum http_result send_home(const struct exchange *exchange,
-				  const char *address,
-				  struct http_answer *answer)
+				  const char *address, struct http_answer *answer)
 {
-	char *headers = g_strconcat(exchange->headers, HEADER_PASSED ": 1\r\n",
-				    NULL);
+	char *headers =
+		g_strconcat(exchange->headers, HEADER_PASSED ": 1\r\n", NULL);
 	struct http_request request = {
 		.method = exchange->method,
 		.path = exchange->path,
@@ -81,9 +80,9 @@
 	result = send_home(exchange, address, &answer);
 	explain_add(entry->explain, exchange->request_id,
 		    "order passed to its home home=%s result=%s", home->home,
-		    result == HTTP_WHOLE    ? "answered" :
-		    result == HTTP_NOT_SENT ? "not reached" :
-					      "lost");
+		    result == HTTP_WHOLE      ? "answered"
+		    : result == HTTP_NOT_SENT ? "not reached"
+					      : "lost");
 	if (result == HTTP_NOT_SENT)
 		return false;
 	if (result != HTTP_WHOLE) {
--- a/src/entry/probe.c
+++ b/src/entry/probe.c
@@ -37,8 +37,7 @@
 		uint64_t other = member->name_hash ^ server_hash;
 
 		if (member->state != MEMBER_LIVE ||
-		    strcmp(member->failure_domain,
-			   entry->settings.failure_domain))
+		    strcmp(member->failure_domain, entry->settings.failure_domain))
 			continue;
 		before += other * 0x9e3779b97f4a7c15ULL < own;
 	}
@@ -49,8 +48,7 @@
 static void hear(struct entry *entry, const struct backends_state *state,
 		 const struct http_answer *answer)
 {
-	json_t *json =
-		json_loads(answer->body ? answer->body : "", 0, NULL);
+	json_t *json = json_loads(answer->body ? answer->body : "", 0, NULL);
 	bool leaving = json_is_true(json_object_get(json, "leaving"));
 
 	json_decref(json);
@@ -66,8 +64,7 @@
 				     PICK_LEAVING_PEER, false);
 }
 
-static void probe_server(struct entry *entry,
-			 const struct backends_state *state)
+static void probe_server(struct entry *entry, const struct backends_state *state)
 {
 	struct http_request request = {
 		.method = "GET",
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -17,9 +17,18 @@
 #define SERVICE_THREADS_PERMILLE 600
 
 static const char *const hop_headers[] = {
-	"Connection", "Keep-Alive",	     "Transfer-Encoding", "TE",
-	"Trailer",    "Upgrade",	     "Host",		  "Content-Length",
-	"Expect",     "Proxy-Authorization", "Proxy-Connection",  "Date",
+	"Connection",
+	"Keep-Alive",
+	"Transfer-Encoding",
+	"TE",
+	"Trailer",
+	"Upgrade",
+	"Host",
+	"Content-Length",
+	"Expect",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Date",
 };
 
 static bool is_hop_header(const char *name)
@@ -43,9 +52,8 @@
 			     const struct exchange *exchange)
 {
 	GString *text = g_string_sized_new(512);
-	int64_t left_ms =
-		(exchange->deadline_ns - clock_now_ns(&clock_system)) /
-		NS_PER_MS;
+	int64_t left_ms = (exchange->deadline_ns - clock_now_ns(&clock_system)) /
+			  NS_PER_MS;
 	int i;
 
 	for (i = 0; i < info->num_headers; i++)
@@ -71,8 +79,7 @@
 
 /** The service's deadline, or an earlier one that the caller gave. */
 static int64_t deadline_of(const struct entry *entry,
-			   const struct doc_service *service,
-			   const char *asked)
+			   const struct doc_service *service, const char *asked)
 {
 	int64_t left_ms = service->deadline_ms;
 	int64_t asked_ms;
@@ -201,19 +208,18 @@
 			   answer->body, answer->body_bytes);
 	else
 		http_reply_error(connection, exchange->status, headers,
-				 exchange->reason,
-				 remedy_of(exchange->verdict));
+				 exchange->reason, remedy_of(exchange->verdict));
 	if (entry->leaving)
 		mg_disable_connection_keep_alive(connection);
 	g_free(headers);
 }
 
 /** Reads the body. @return false when the exchange was refused. */
-static bool read_body(struct mg_connection *connection,
-		      struct exchange *exchange)
+static bool read_body(struct mg_connection *connection, struct exchange *exchange)
 {
-	int64_t body_bytes = http_read_body(
-		connection, exchange->service->body_bytes_max, &exchange->body);
+	int64_t body_bytes =
+		http_read_body(connection, exchange->service->body_bytes_max,
+			       &exchange->body);
 
 	if (body_bytes >= 0) {
 		exchange->body_bytes = (uint32_t)body_bytes;
@@ -247,8 +253,7 @@
 	if (exchange->idempotent)
 		forward_run(entry, exchange);
 	else
-		order_run(entry, exchange,
-			  mg_get_header(connection, HEADER_KEY));
+		order_run(entry, exchange, mg_get_header(connection, HEADER_KEY));
 }
 
 static void serve_service(struct entry *entry, struct mg_connection *connection,
@@ -266,8 +271,9 @@
 		release(entry, service);
 	} else {
 		counter_add(COUNTER_REFUSED_FULL, 1);
-		log_warn("serve", "refused service=%s why=\"its part of the "
-				  "threads is in use\"",
+		log_warn("serve",
+			 "refused service=%s why=\"its part of the "
+			 "threads is in use\"",
 			 service);
 		mg_disable_connection_keep_alive(connection);
 		forward_refuse(exchange, VERDICT_NOT_RUN, 503,
@@ -302,10 +308,10 @@
 		mg_disable_connection_keep_alive(connection);
 		http_reply_error(connection, held ? 404 : 503,
 				 VERDICT_HEADER ": not-run\r\n",
-				 held ? "no service has this path" :
-					"no document is in force yet",
-				 held ? "see the document's path_prefix" :
-					"ask another entry VM");
+				 held ? "no service has this path"
+				      : "no document is in force yet",
+				 held ? "see the document's path_prefix"
+				      : "ask another entry VM");
 	}
 	g_free(path);
 	current_release(held);
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -6,33 +6,26 @@
 #include "base/log.h"
 
 #define PLACE(member) .offset = offsetof(struct settings, member)
-#define NAME(member, key_, help_)                                              \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_NAME,                                                  \
-	  PLACE(member),                                                       \
-	  .required = true,                                                    \
-	  .min = 1,                                                            \
-	  .max = 64,                                                           \
-	  .help = help_ }
-#define ADDRESS(member, key_, help_)                                           \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_ADDRESS,                                               \
-	  PLACE(member),                                                       \
-	  .required = true,                                                    \
-	  .min = 1,                                                            \
-	  .max = 64,                                                           \
-	  .help = help_ }
-#define TEXT(member, key_, help_)                                              \
-	{ .key = key_, .kind = FIELD_TEXT, PLACE(member), .max = 64,           \
-	  .help = help_ }
-#define U32(member, key_, min_, max_, fallback_, help_)                        \
-	{ .key = key_,                                                         \
-	  .kind = FIELD_U32,                                                   \
-	  PLACE(member),                                                       \
-	  .min = min_,                                                         \
-	  .max = max_,                                                         \
-	  .fallback = fallback_,                                               \
-	  .help = help_ }
+#define NAME(member, key_, help_)                                    \
+	{                                                            \
+		.key = key_, .kind = FIELD_NAME, PLACE(member),      \
+		.required = true, .min = 1, .max = 64, .help = help_ \
+	}
+#define ADDRESS(member, key_, help_)                                 \
+	{                                                            \
+		.key = key_, .kind = FIELD_ADDRESS, PLACE(member),   \
+		.required = true, .min = 1, .max = 64, .help = help_ \
+	}
+#define TEXT(member, key_, help_)                                          \
+	{                                                                  \
+		.key = key_, .kind = FIELD_TEXT, PLACE(member), .max = 64, \
+		.help = help_                                              \
+	}
+#define U32(member, key_, min_, max_, fallback_, help_)                     \
+	{                                                                   \
+		.key = key_, .kind = FIELD_U32, PLACE(member), .min = min_, \
+		.max = max_, .fallback = fallback_, .help = help_           \
+	}
 
 static const struct field settings_fields[] = {
 	NAME(name, "name", "this entry VM's name, unique in the fleet"),
--- a/src/entry/steering.c
+++ b/src/entry/steering.c
@@ -45,8 +45,7 @@
 		steer_advance(&steered->position, now_ms);
 		steered->moving = !steer_settled(&steered->position);
 		if (!steered->moving)
-			log_info("steer",
-				 "shift is complete service=%s from=%s",
+			log_info("steer", "shift is complete service=%s from=%s",
 				 steered->service, steered->from);
 	}
 	pthread_mutex_unlock(&table->lock);
@@ -159,8 +158,7 @@
 	log_warn("steer",
 		 "usable regions changed service=%s from=%s before=%llx now=%llx",
 		 steered->service, steered->from,
-		 (unsigned long long)steered->usable,
-		 (unsigned long long)usable);
+		 (unsigned long long)steered->usable, (unsigned long long)usable);
 	steered->usable = usable;
 	steer_hold(&steered->position,
 		   clock_now_ms(table->clock) + steered->hold_ms);
@@ -184,8 +182,7 @@
 }
 
 void steering_adopt(struct steering_table *table, const char *service,
-		    const char *from, const double *bound,
-		    uint32_t region_count)
+		    const char *from, const double *bound, uint32_t region_count)
 {
 	struct steered *steered;
 
--- a/src/entry/steering.h
+++ b/src/entry/steering.h
@@ -30,8 +30,7 @@
 
 /** Takes over a peer's position after a start. */
 void steering_adopt(struct steering_table *table, const char *service,
-		    const char *from, const double *bound,
-		    uint32_t region_count);
+		    const char *from, const double *bound, uint32_t region_count);
 
 /**
  * Copies the index-th position; names receive up to 65 bytes.
--- a/src/entry/watch.c
+++ b/src/entry/watch.c
@@ -42,8 +42,8 @@
 	struct store_value value;
 
 	watch->looked_ms = clock_now_ms(&entry->clock);
-	if (entry->store.get(entry->store.context, STORE_KEY_DOCUMENT,
-			     &value) != STORE_OK)
+	if (entry->store.get(entry->store.context, STORE_KEY_DOCUMENT, &value) !=
+	    STORE_OK)
 		return false;
 	if (value.bytes)
 		current_offer(entry->current, value.bytes, value.byte_count,
@@ -81,8 +81,7 @@
 	if (watch->listed_ms && now_ms - watch->listed_ms < VM_LIST_PERIOD_MS)
 		return;
 	watch->listed_ms = now_ms;
-	entry->store.list(entry->store.context, STORE_PREFIX_VMS, add_vm,
-			  watch);
+	entry->store.list(entry->store.context, STORE_PREFIX_VMS, add_vm, watch);
 }
 
 static void back_off(struct watch *watch)
@@ -116,8 +115,7 @@
 {
 	int64_t spread_ms = (int64_t)(rank_hash(watch->entry->settings.name) %
 				      LOOK_SPREAD_MS);
-	int64_t since_ms =
-		clock_now_ms(&watch->entry->clock) - watch->looked_ms;
+	int64_t since_ms = clock_now_ms(&watch->entry->clock) - watch->looked_ms;
 
 	return since_ms > LOOK_PERIOD_MS + spread_ms;
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -77,8 +77,7 @@
 	bool sent;
 
 	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-			       request->method, request->path,
-			       connection->host);
+			       request->method, request->path, connection->host);
 	if (request->headers)
 		g_string_append(text, request->headers);
 	if (request->body_bytes || strcmp(request->method, "GET"))
@@ -94,8 +93,7 @@
 
 static bool read_header(struct http_connection *connection, int64_t deadline_ns)
 {
-	int64_t left_ms =
-		(deadline_ns - clock_now_ns(&clock_system)) / NS_PER_MS;
+	int64_t left_ms = (deadline_ns - clock_now_ns(&clock_system)) / NS_PER_MS;
 	char error[ERROR_BYTES] = "";
 
 	if (left_ms < 1)
@@ -164,8 +162,7 @@
 
 	answer->body = malloc(size + 1);
 	while (answer->body) {
-		count = mg_read(connection->mg,
-				answer->body + answer->body_bytes,
+		count = mg_read(connection->mg, answer->body + answer->body_bytes,
 				size - answer->body_bytes);
 		if (count < 0)
 			return lost(request->deadline_ns);
@@ -197,8 +194,7 @@
 	if (info->content_length >= 0)
 		return read_counted(connection, answer, info->content_length,
 				    request);
-	if (has_token(http_answer_header(answer, "Transfer-Encoding"),
-		      "chunked"))
+	if (has_token(http_answer_header(answer, "Transfer-Encoding"), "chunked"))
 		return read_chunked(connection, answer, request);
 	/* without a length, a truncated answer would look whole */
 	return HTTP_LOST;
@@ -245,8 +241,7 @@
 	return result;
 }
 
-const char *http_answer_header(const struct http_answer *answer,
-			       const char *name)
+const char *http_answer_header(const struct http_answer *answer, const char *name)
 {
 	uint32_t i;
 
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -79,8 +79,7 @@
 	const struct kept *newest;
 
 	pthread_mutex_lock(&pool->lock);
-	if (pool->kept_count &&
-	    now_ms - pool->kept[0].used_ms > pool->idle_ms)
+	if (pool->kept_count && now_ms - pool->kept[0].used_ms > pool->idle_ms)
 		stale = remove_oldest(pool);
 	if (pool->kept_count) {
 		newest = &pool->kept[pool->kept_count - 1];
@@ -94,8 +93,7 @@
 	return taken;
 }
 
-static void give_back(struct http_pool *pool,
-		      struct http_connection *connection)
+static void give_back(struct http_pool *pool, struct http_connection *connection)
 {
 	struct http_connection *extra = NULL;
 
@@ -111,8 +109,7 @@
 
 enum http_result http_pool_exchange(struct http_pool *pool,
 				    const struct http_request *request,
-				    uint32_t fresh_ms,
-				    struct http_answer *answer)
+				    uint32_t fresh_ms, struct http_answer *answer)
 {
 	struct http_connection *connection = take(pool, fresh_ms);
 	enum http_result result;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -109,8 +109,8 @@
 	} else if (info->content_length >= 0) {
 		*body = malloc((size_t)info->content_length + 1);
 		result = *body ? read_counted(connection, *body,
-					      info->content_length) :
-				 BODY_TOO_LONG;
+					      info->content_length)
+			       : BODY_TOO_LONG;
 	} else if (mg_get_header(connection, "Transfer-Encoding")) {
 		result = read_chunked(connection, bytes_max, body);
 	} else {
@@ -132,8 +132,8 @@
 }
 
 void http_reply(struct mg_connection *connection, uint32_t status,
-		const char *content_type, const char *headers,
-		const char *body, uint32_t body_bytes)
+		const char *content_type, const char *headers, const char *body,
+		uint32_t body_bytes)
 {
 	const struct mg_request_info *info = mg_get_request_info(connection);
 	const char *asked = mg_get_header(connection, "Connection");
@@ -190,15 +190,13 @@
 		      const char *headers, const char *what, const char *remedy)
 {
 	http_reply_json(connection, status, headers,
-			json_pack("{s:s,s:s}", "error", what, "remedy",
-				  remedy));
+			json_pack("{s:s,s:s}", "error", what, "remedy", remedy));
 }
 
 bool http_query(const struct mg_connection *connection, const char *name,
 		char *value, uint32_t value_bytes)
 {
-	const char *query =
-		mg_get_request_info(connection)->query_string;
+	const char *query = mg_get_request_info(connection)->query_string;
 
 	value[0] = '\0';
 	if (!query)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -12,12 +12,12 @@
  */
 
 struct http_server_options {
-	const char *address;	   /**< "IP:port" */
-	uint32_t threads;	   /**< callers served at the same time */
-	uint32_t keep_alive_ms;	   /**< an idle connection is closed then */
+	const char *address;	     /**< "IP:port" */
+	uint32_t threads;	     /**< callers served at the same time */
+	uint32_t keep_alive_ms;	     /**< an idle connection is closed then */
 	uint32_t request_timeout_ms; /**< for a caller to send its request */
-	const char *certificate;   /**< PEM file; NULL: no TLS */
-	uint32_t connections_max;  /**< accepted and waiting for a thread */
+	const char *certificate;     /**< PEM file; NULL: no TLS */
+	uint32_t connections_max;    /**< accepted and waiting for a thread */
 };
 
 /**
@@ -44,8 +44,8 @@
  * @param headers further lines, each ended by CR LF; or NULL.
  */
 void http_reply(struct mg_connection *connection, uint32_t status,
-		const char *content_type, const char *headers,
-		const char *body, uint32_t body_bytes);
+		const char *content_type, const char *headers, const char *body,
+		uint32_t body_bytes);
 
 /** Sends a JSON value and releases it. */
 void http_reply_json(struct mg_connection *connection, uint32_t status,
@@ -55,8 +55,7 @@
  * Sends {"error": what, "remedy": remedy}.
  */
 void http_reply_error(struct mg_connection *connection, uint32_t status,
-		      const char *headers, const char *what,
-		      const char *remedy);
+		      const char *headers, const char *what, const char *remedy);
 
 /**
  * @return whether the query holds `name`; its value, decoded and cut to fit,
--- a/src/peer/gossip.c
+++ b/src/peer/gossip.c
@@ -229,8 +229,8 @@
 {
 	if (!domain->member_count)
 		return NULL;
-	return &domain->members[g_rand_int_range(
-		peer->random, 0, (gint32)domain->member_count)];
+	return &domain->members[g_rand_int_range(peer->random, 0,
+						 (gint32)domain->member_count)];
 }
 
 static void send_to_domains(struct peer *peer, const Wire__Envelope *envelope)
@@ -264,8 +264,8 @@
 
 	if (!peer->seeds->len)
 		return;
-	address = peer->seeds->pdata[g_rand_int_range(
-		peer->random, 0, (gint32)peer->seeds->len)];
+	address = peer->seeds->pdata[g_rand_int_range(peer->random, 0,
+						      (gint32)peer->seeds->len)];
 	if (!strcmp(address, member_self(peer->table)->peer_address))
 		return;
 	heartbeat_init(&heartbeat, peer);
@@ -280,8 +280,7 @@
 	Wire__PositionRequest body = WIRE__POSITION_REQUEST__INIT;
 	Wire__Envelope envelope;
 
-	if (peer->positions_known ||
-	    now_ms - peer->started_ms > POSITION_ASK_MS ||
+	if (peer->positions_known || now_ms - peer->started_ms > POSITION_ASK_MS ||
 	    now_ms - peer->position_asked_ms < POSITION_ASK_PERIOD_MS)
 		return;
 	peer->position_asked_ms = now_ms;
--- a/src/peer/handle.c
+++ b/src/peer/handle.c
@@ -18,8 +18,7 @@
 static void reply(struct peer *peer, const Wire__Envelope *to,
 		  const Wire__Envelope *envelope)
 {
-	peer_message_send(peer, envelope, to->sender_address,
-			  to->sender_domain);
+	peer_message_send(peer, envelope, to->sender_address, to->sender_domain);
 }
 
 static void set_wire_member(Wire__Member *wire, const struct member *member)
@@ -37,8 +36,7 @@
 {
 	memset(member, 0, sizeof(*member));
 	snprintf(member->name, NAME_BYTES, "%s", wire->name);
-	snprintf(member->failure_domain, NAME_BYTES, "%s",
-		 wire->failure_domain);
+	snprintf(member->failure_domain, NAME_BYTES, "%s", wire->failure_domain);
 	snprintf(member->http_address, sizeof(member->http_address), "%s",
 		 wire->http_address);
 	snprintf(member->peer_address, sizeof(member->peer_address), "%s",
@@ -96,8 +94,7 @@
 	g_free(unknown);
 }
 
-static void ask_domain(struct peer *peer, const Wire__Envelope *from,
-		       char *domain)
+static void ask_domain(struct peer *peer, const Wire__Envelope *from, char *domain)
 {
 	Wire__DomainRequest body = WIRE__DOMAIN_REQUEST__INIT;
 	Wire__Envelope envelope;
@@ -142,9 +139,8 @@
 	for (i = 0; i < heartbeat->n_domains; i++)
 		hear_digest(peer, from, heartbeat->domains[i], now_ms);
 	for (i = 0; i < heartbeat->n_leaving_backends; i++)
-		peer->callbacks.backend_leaving(
-			peer->callbacks.context,
-			heartbeat->leaving_backends[i]);
+		peer->callbacks.backend_leaving(peer->callbacks.context,
+						heartbeat->leaving_backends[i]);
 	for (i = 0; i < heartbeat->n_quarantined; i++)
 		peer->callbacks.quarantined(peer->callbacks.context,
 					    heartbeat->quarantined[i]);
@@ -223,8 +219,8 @@
 	body.domain = domain->name;
 	body.stamp = domain->stamp;
 	for (i = 0; i < max; i++) {
-		const struct member *member = own ? member_at(peer->table, i) :
-						    &domain->members[i];
+		const struct member *member =
+			own ? member_at(peer->table, i) : &domain->members[i];
 
 		if (!own || member->state == MEMBER_LIVE)
 			add_table_member(&body, members, member);
@@ -275,8 +271,7 @@
 	Wire__DocumentReply body = WIRE__DOCUMENT_REPLY__INIT;
 	Wire__Envelope envelope;
 
-	if (held &&
-	    held->doc->version > from->document_request->above_version) {
+	if (held && held->doc->version > from->document_request->above_version) {
 		body.text.data = (uint8_t *)held->text;
 		body.text.len = held->text_bytes;
 		peer_message_init(peer, &envelope);
@@ -349,16 +344,14 @@
 		return;
 	peer->positions_known = true;
 	for (i = 0; i < positions->n_positions; i++)
-		peer->callbacks.adopt(
-			peer->callbacks.context,
-			positions->positions[i]->service,
-			positions->positions[i]->from,
-			positions->positions[i]->bound,
-			(uint32_t)positions->positions[i]->n_bound);
+		peer->callbacks.adopt(peer->callbacks.context,
+				      positions->positions[i]->service,
+				      positions->positions[i]->from,
+				      positions->positions[i]->bound,
+				      (uint32_t)positions->positions[i]->n_bound);
 }
 
-void peer_handle(struct peer *peer, const Wire__Envelope *envelope,
-		 int64_t now_ms)
+void peer_handle(struct peer *peer, const Wire__Envelope *envelope, int64_t now_ms)
 {
 	switch (envelope->body_case) {
 	case WIRE__ENVELOPE__BODY_HEARTBEAT:
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -39,8 +39,7 @@
 int64_t link_receive(struct link *link, uint32_t wait_ms, void **bytes);
 
 /** Closes connections to addresses that `keep` does not hold to. */
-void link_forget(struct link *link, int (*keep)(void *context,
-						const char *address),
-		 void *context);
+void link_forget(struct link *link,
+		 int (*keep)(void *context, const char *address), void *context);
 
 #endif
--- a/src/peer/member.c
+++ b/src/peer/member.c
@@ -149,11 +149,9 @@
 {
 	uint32_t i;
 
-	log_warn("member", "this process was paused pause_ms=%" PRId64,
-		 pause_ms);
+	log_warn("member", "this process was paused pause_ms=%" PRId64, pause_ms);
 	for (i = 0; i < table->members->len; i++)
-		((struct member *)table->members->pdata[i])->heard_ms +=
-			pause_ms;
+		((struct member *)table->members->pdata[i])->heard_ms += pause_ms;
 }
 
 static enum member_state state_after(int64_t silent_ms)
--- a/src/peer/member.h
+++ b/src/peer/member.h
@@ -21,8 +21,7 @@
 struct member_table;
 
 /** @param self copied; its heartbeat starts at one. */
-struct member_table *member_table_new(const struct member *self,
-				      int64_t now_ms);
+struct member_table *member_table_new(const struct member *self, int64_t now_ms);
 void member_table_free(struct member_table *table);
 
 /** @return this process's own record, which the owner may change. */
@@ -58,8 +57,7 @@
 uint32_t member_count(const struct member_table *table);
 
 /** @return the member at an index below member_count(). */
-const struct member *member_at(const struct member_table *table,
-			       uint32_t index);
+const struct member *member_at(const struct member_table *table, uint32_t index);
 
 /** @return a member, or NULL. */
 const struct member *member_find(const struct member_table *table,
--- a/src/peer/member_defs.h
+++ b/src/peer/member_defs.h
@@ -13,8 +13,8 @@
 #define MEMBER_ADDRESS_BYTES 65
 
 /** Flags that travel with a member. */
-#define MEMBER_LEAVING 1U    /**< in a planned stop */
-#define MEMBER_UNCLAIMED 2U  /**< runs orders without claims: no store */
+#define MEMBER_LEAVING 1U   /**< in a planned stop */
+#define MEMBER_UNCLAIMED 2U /**< runs orders without claims: no store */
 #define MEMBER_KNOWN_FLAGS 3U
 
 enum member_state {
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -25,18 +25,16 @@
 		break;
 	case PEER_ADD_SEED:
 		if (peer->seeds->len < PEER_SEEDS_MAX &&
-		    !g_ptr_array_find_with_equal_func(peer->seeds,
-						      command->text,
+		    !g_ptr_array_find_with_equal_func(peer->seeds, command->text,
 						      g_str_equal, NULL))
 			g_ptr_array_add(peer->seeds, g_strdup(command->text));
 		break;
 	case PEER_CUT:
 		g_free(peer->cut);
-		peer->cut = command->text[0] ?
-				    g_strdup_printf(",%s,", command->text) :
-				    NULL;
-		log_warn("peer", "test seam cuts domains=\"%s\"",
-			 command->text);
+		peer->cut = command->text[0]
+				    ? g_strdup_printf(",%s,", command->text)
+				    : NULL;
+		log_warn("peer", "test seam cuts domains=\"%s\"", command->text);
 		break;
 	}
 	free(command);
@@ -73,8 +71,7 @@
 			continue;
 		}
 		if (!peer_is_cut(peer, envelope->sender_domain))
-			peer_handle(peer, envelope,
-				    clock_now_ms(&clock_system));
+			peer_handle(peer, envelope, clock_now_ms(&clock_system));
 		wire_free(envelope);
 	}
 }
@@ -106,9 +103,7 @@
 			return 1;
 	for (i = 0; i < peer->domains.count; i++)
 		for (k = 0; k < peer->domains.domains[i]->member_count; k++)
-			if (!strcmp(peer->domains.domains[i]
-					    ->members[k]
-					    .peer_address,
+			if (!strcmp(peer->domains.domains[i]->members[k].peer_address,
 				    address))
 				return 1;
 	return 0;
@@ -228,8 +223,7 @@
 
 void peer_view_release(struct peer_view *view)
 {
-	if (!view ||
-	    __atomic_sub_fetch(&view->references, 1, __ATOMIC_ACQ_REL))
+	if (!view || __atomic_sub_fetch(&view->references, 1, __ATOMIC_ACQ_REL))
 		return;
 	free(view->members);
 	free(view);
--- a/src/peer/view.c
+++ b/src/peer/view.c
@@ -81,11 +81,9 @@
 		return;
 	}
 	for (i = 0; i < member_count(peer->table); i++)
-		view->members[view->member_count++] =
-			*member_at(peer->table, i);
+		view->members[view->member_count++] = *member_at(peer->table, i);
 	add_versions(view, versions,
-		     member_versions(peer->table, versions,
-				     MEMBER_VERSIONS_MAX));
+		     member_versions(peer->table, versions, MEMBER_VERSIONS_MAX));
 	for (i = 0; i < peer->domains.count; i++)
 		if (strcmp(peer->domains.domains[i]->name,
 			   member_at(peer->table, 0)->failure_domain))
--- a/src/store/publish.c
+++ b/src/store/publish.c
@@ -37,8 +37,7 @@
 
 static const char *change_id_of(json_t *value)
 {
-	const char *id =
-		json_string_value(json_object_get(value, "change_id"));
+	const char *id = json_string_value(json_object_get(value, "change_id"));
 
 	return id ? id : "";
 }
@@ -53,18 +52,17 @@
 /** The record of a publication; changes too long to keep are counted. */
 static char *history_text(json_t *held, const struct publication *publication)
 {
-	json_t *changes = diff_documents(held ? held : json_object(),
-					 publication->value);
+	json_t *changes =
+		diff_documents(held ? held : json_object(), publication->value);
 	json_t *record;
 	char *text;
 
-	record = json_pack(
-		"{s:I,s:s,s:s,s:s,s:I,s:i,s:O}", "version",
-		(json_int_t)publication->version, "change_id",
-		change_id_of(publication->value), "author", publication->author,
-		"comment", publication->comment, "unix_ms",
-		(json_int_t)clock_unix_ms(), "change_count",
-		(int)json_array_size(changes), "changes", changes);
+	record = json_pack("{s:I,s:s,s:s,s:s,s:I,s:i,s:O}", "version",
+			   (json_int_t)publication->version, "change_id",
+			   change_id_of(publication->value), "author",
+			   publication->author, "comment", publication->comment,
+			   "unix_ms", (json_int_t)clock_unix_ms(), "change_count",
+			   (int)json_array_size(changes), "changes", changes);
 	text = json_dumps(record, JSON_COMPACT);
 	if (text && strlen(text) > CHANGES_BYTES_MAX) {
 		free(text);
@@ -163,8 +161,7 @@
 	result = store->get(store->context, STORE_KEY_DOCUMENT, &raw);
 	if (result != STORE_OK)
 		return sent_before ? PUBLISH_UNKNOWN : PUBLISH_UNREACHABLE;
-	held = raw.bytes ? json_loadb(raw.bytes, raw.byte_count, 0, NULL) :
-			   NULL;
+	held = raw.bytes ? json_loadb(raw.bytes, raw.byte_count, 0, NULL) : NULL;
 	if (sent_before && !strcmp(change_id_of(held), change_id)) {
 		outcome = PUBLISH_DONE;
 		goto out;
@@ -204,11 +201,10 @@
 
 	publication->conflict = NULL;
 	for (i = 0; i < TRIES && outcome == PUBLISH_UNKNOWN; i++)
-		outcome = try_once(store, publication, change_id, i > 0,
-				   errors);
+		outcome = try_once(store, publication, change_id, i > 0, errors);
 	if (outcome == PUBLISH_CONFLICT)
-		publication->conflict = publish_changes_since(
-			store, publication->base_version);
+		publication->conflict =
+			publish_changes_since(store, publication->base_version);
 	g_free(change_id);
 	return outcome;
 }
--- a/src/store/store_defs.h
+++ b/src/store/store_defs.h
@@ -64,8 +64,7 @@
 				   void *watch_context);
 	/** Reads every key under a prefix as JSON-free name/value pairs. */
 	enum store_result (*list)(void *context, const char *prefix,
-				  void (*each)(void *each_context,
-					       const char *key,
+				  void (*each)(void *each_context, const char *key,
 					       const char *value),
 				  void *each_context);
 	void *context;
--- a/src/store/store_etcd.c
+++ b/src/store/store_etcd.c
@@ -161,11 +161,9 @@
 {
 	char revision[24];
 
-	snprintf(revision, sizeof(revision), "%" PRIu64,
-		 put->expected_revision);
-	return json_pack("{s:s,s:s,s:o,s:s}", "result", "EQUAL", "target",
-			 "MOD", "key", base64_json(put->key), "mod_revision",
-			 revision);
+	snprintf(revision, sizeof(revision), "%" PRIu64, put->expected_revision);
+	return json_pack("{s:s,s:s,s:o,s:s}", "result", "EQUAL", "target", "MOD",
+			 "key", base64_json(put->key), "mod_revision", revision);
 }
 
 static json_t *operation_of(const struct store_put *put)
@@ -181,8 +179,7 @@
 			 base64_json(put->value), "lease", lease);
 }
 
-static enum store_result etcd_commit(void *context,
-				     const struct store_put *puts,
+static enum store_result etcd_commit(void *context, const struct store_put *puts,
 				     uint32_t put_count)
 {
 	json_t *compares = json_array();
@@ -207,8 +204,7 @@
 	return result;
 }
 
-static enum store_result etcd_lease(void *context, uint32_t ttl_s,
-				    uint64_t *lease)
+static enum store_result etcd_lease(void *context, uint32_t ttl_s, uint64_t *lease)
 {
 	json_t *answer;
 	enum store_result result;
@@ -238,18 +234,16 @@
 	int64_t until_ns;
 
 	counter_add(COUNTER_STORE_CALLS, 1);
-	connection = http_connect(http_pool_address(etcd->pool),
-				  request.deadline_ns);
+	connection =
+		http_connect(http_pool_address(etcd->pool), request.deadline_ns);
 	if (!connection || !http_open_stream(connection, &request)) {
 		counter_add(COUNTER_STORE_ERRORS, 1);
 		goto out;
 	}
 	result = STORE_OK;
 	do {
-		until_ns =
-			clock_now_ns(&clock_system) + wait_ms * NS_PER_MS;
-		if (http_read_line(connection, line, sizeof(line), until_ns) <
-		    0)
+		until_ns = clock_now_ns(&clock_system) + wait_ms * NS_PER_MS;
+		if (http_read_line(connection, line, sizeof(line), until_ns) < 0)
 			break;
 	} while (changed(watch_context));
 out:
@@ -271,11 +265,10 @@
 	return value;
 }
 
-static enum store_result etcd_list(void *context, const char *prefix,
-				   void (*each)(void *each_context,
-						const char *key,
-						const char *value),
-				   void *each_context)
+static enum store_result
+etcd_list(void *context, const char *prefix,
+	  void (*each)(void *each_context, const char *key, const char *value),
+	  void *each_context)
 {
 	json_t *body = json_pack("{s:o,s:o}", "key", base64_json(prefix),
 				 "range_end", range_end_of(prefix));
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -77,8 +77,7 @@
 static bool envelope_sound(const Wire__Envelope *envelope)
 {
 	if (envelope->protocol < WIRE_PROTOCOL_OLDEST ||
-	    !is_short(envelope->sender) ||
-	    !is_short(envelope->sender_domain) ||
+	    !is_short(envelope->sender) || !is_short(envelope->sender_domain) ||
 	    !is_short(envelope->sender_address))
 		return false;
 	switch (envelope->body_case) {
--- a/standin/backend_main.c
+++ b/standin/backend_main.c
@@ -60,8 +60,7 @@
 	b = g_rand_double(random_source);
 	pthread_mutex_unlock(&random_lock);
 	normal = sqrt(-2 * log(a)) * cos(2 * G_PI * b);
-	return (int64_t)(service_ms *
-			 exp(sigma * normal - sigma * sigma / 2));
+	return (int64_t)(service_ms * exp(sigma * normal - sigma * sigma / 2));
 }
 
 static const char *header_or(struct mg_connection *connection, const char *key,
@@ -79,8 +78,7 @@
 	char line[LINE_BYTES];
 	int used;
 
-	used = snprintf(line, sizeof(line),
-			"%s %s %s %s %s %" PRId64 "\n", what,
+	used = snprintf(line, sizeof(line), "%s %s %s %s %s %" PRId64 "\n", what,
 			header_or(connection, "Auburnreach-Request-Id", "-"),
 			info->request_method, info->local_uri,
 			header_or(connection, "Idempotency-Key", "-"),
@@ -101,8 +99,7 @@
 	const char *deadline =
 		mg_get_header(connection, "Auburnreach-Deadline-Unix-Ms");
 
-	return deadline &&
-	       clock_unix_ms() >= g_ascii_strtoll(deadline, NULL, 10);
+	return deadline && clock_unix_ms() >= g_ascii_strtoll(deadline, NULL, 10);
 }
 
 /** @return whether the fault took the place of the answer. */
@@ -145,18 +142,18 @@
 
 	snprintf(headers, sizeof(headers),
 		 VERDICT_HEADER ": ran\r\n"
-		 "Auburnreach-Request-Id: %s\r\n"
-		 "%s",
+				"Auburnreach-Request-Id: %s\r\n"
+				"%s",
 		 header_or(connection, "Auburnreach-Request-Id", "-"),
 		 leaving ? "Auburnreach-Leaving: 1\r\n" : "");
-	http_reply_json(
-		connection, 200, headers,
-		json_pack("{s:s,s:s,s:s,s:s,s:s%}", "backend", name, "path",
-			  info->local_uri, "key",
-			  header_or(connection, "Idempotency-Key", ""),
-			  "caller", header_or(connection, "Caller-Tag", ""),
-			  "body", body ? body : "",
-			  (size_t)(body ? body_bytes : 0)));
+	http_reply_json(connection, 200, headers,
+			json_pack("{s:s,s:s,s:s,s:s,s:s%}", "backend", name,
+				  "path", info->local_uri, "key",
+				  header_or(connection, "Idempotency-Key", ""),
+				  "caller",
+				  header_or(connection, "Caller-Tag", ""),
+				  "body", body ? body : "",
+				  (size_t)(body ? body_bytes : 0)));
 }
 
 static int64_t service_time_ms(void)
@@ -260,9 +257,9 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "of service times");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { listen,	own_name, slot_count, connections,
-			  mean_ms,	cold,	  journal_file, seed,
-			  help,		end };
+	void *table[] = { listen,  own_name, slot_count,   connections,
+			  mean_ms, cold,     journal_file, seed,
+			  help,	   end };
 	struct http_server_options options = {
 		.threads = 64,
 		.keep_alive_ms = 60000,
@@ -297,8 +294,8 @@
 	if (journal_file->count)
 		journal = open(journal_file->filename[0],
 			       O_WRONLY | O_CREAT | O_APPEND, 0644);
-	random_source = g_rand_new_with_seed(
-		seed->count ? (guint32)seed->ival[0] : 1);
+	random_source =
+		g_rand_new_with_seed(seed->count ? (guint32)seed->ival[0] : 1);
 	started_ms = clock_now_ms(&clock_system);
 	standin_block_signals();
 	mg_init_library(0);
@@ -306,8 +303,7 @@
 	if (!server)
 		return 1;
 	mg_set_request_handler(server, "/health", handle_health, NULL);
-	mg_set_request_handler(server, "/standin/control", handle_control,
-			       NULL);
+	mg_set_request_handler(server, "/standin/control", handle_control, NULL);
 	mg_set_request_handler(server, "/", handle_work, NULL);
 	standin_run(server);
 	arg_freetable(table, ARRAY_SIZE(table));
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -40,8 +40,7 @@
 {
 	json_t *value = NULL;
 	char *body;
-	int64_t body_bytes =
-		http_read_body(connection, BODY_BYTES_MAX, &body);
+	int64_t body_bytes = http_read_body(connection, BODY_BYTES_MAX, &body);
 
 	if (body_bytes >= 0)
 		value = json_loadb(body, (size_t)body_bytes, 0, NULL);
--- a/standin/store_data.c
+++ b/standin/store_data.c
@@ -108,9 +108,9 @@
 	char *encoded = g_base64_encode((const guchar *)key, strlen(key));
 	json_t *value = json_pack("{s:s,s:s,s:o,s:o,s:o}", "key", encoded,
 				  "value", item->value, "create_revision",
-				  number(item->create_revision),
-				  "mod_revision", number(item->mod_revision),
-				  "version", number(item->version));
+				  number(item->create_revision), "mod_revision",
+				  number(item->mod_revision), "version",
+				  number(item->version));
 
 	g_free(encoded);
 	return value;
@@ -182,8 +182,7 @@
 		wanted = read_number(json_object_get(compare, "mod_revision"));
 		actual = item ? item->mod_revision : 0;
 	} else if (!strcmp(target, "CREATE")) {
-		wanted = read_number(
-			json_object_get(compare, "create_revision"));
+		wanted = read_number(json_object_get(compare, "create_revision"));
 		actual = item ? item->create_revision : 0;
 	} else {
 		wanted = read_number(json_object_get(compare, "version"));
@@ -195,8 +194,7 @@
 static void put(json_t *request)
 {
 	char *key = store_data_key(json_object_get(request, "key"));
-	const char *value =
-		json_string_value(json_object_get(request, "value"));
+	const char *value = json_string_value(json_object_get(request, "value"));
 	struct item *item = find(key);
 
 	if (!item) {
@@ -245,8 +243,8 @@
 		succeeded = succeeded && compare_holds(entry);
 	if (succeeded)
 		revision++;
-	json_array_foreach (json_object_get(request, succeeded ? "success" :
-								 "failure"),
+	json_array_foreach (json_object_get(request,
+					    succeeded ? "success" : "failure"),
 			    i, entry)
 		json_array_append_new(responses, run_operation(entry));
 	answer = json_pack("{s:o,s:b,s:o}", "header", header(), "succeeded",
@@ -267,8 +265,7 @@
 	*id = (int64_t)(7000 + ++lease_count);
 	*until_ms = clock_now_ms(&clock_system) + ttl_s * MS_PER_S;
 	answer = json_pack("{s:o,s:o,s:o}", "header", header(), "ID",
-			   number((uint64_t)*id), "TTL",
-			   number((uint64_t)ttl_s));
+			   number((uint64_t)*id), "TTL", number((uint64_t)ttl_s));
 	g_hash_table_replace(leases, id, until_ms);
 	pthread_mutex_unlock(&lock);
 	return answer;
@@ -298,8 +295,7 @@
 	for (;;) {
 		item = find(key);
 		differs = (item ? item->mod_revision : 0) != seen;
-		if (differs ||
-		    pthread_cond_timedwait(&changed, &lock, &until))
+		if (differs || pthread_cond_timedwait(&changed, &lock, &until))
 			break;
 	}
 	pthread_mutex_unlock(&lock);
--- a/standin/store_main.c
+++ b/standin/store_main.c
@@ -136,9 +136,8 @@
 			continue;
 		}
 		seen = store_data_revision_of(key);
-		if (send_line(connection,
-			      json_pack("{s:{s:[{s:s}]}}", "result", "events",
-					"type", "PUT")) < 0)
+		if (send_line(connection, json_pack("{s:{s:[{s:s}]}}", "result",
+						    "events", "type", "PUT")) < 0)
 			break;
 	}
 out:
@@ -150,8 +149,7 @@
 static int handle_fault(struct mg_connection *connection, void *context)
 {
 	json_t *body = standin_body(connection);
-	const char *mode =
-		json_string_value(json_object_get(body, "mode"));
+	const char *mode = json_string_value(json_object_get(body, "mode"));
 	json_t *slow = json_object_get(body, "slow_ms");
 	size_t i;
 
@@ -187,8 +185,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_str *listen = arg_str0("l", "listen", "IP:PORT",
-					  "where to listen");
+	struct arg_str *listen =
+		arg_str0("l", "listen", "IP:PORT", "where to listen");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_end *end = arg_end(5);
 	void *table[] = { listen, help, end };
--- /dev/null
+++ b/test/unit/base/shape_test.c
@@ -0,0 +1,188 @@
+#include "base/shape.h"
+#include "unit/test.h"
+
+struct item {
+	char *name;
+	uint32_t count;
+};
+
+struct whole {
+	char *address;
+	bool flag;
+	uint64_t number;
+	char **names;
+	uint32_t name_count;
+	struct item *items;
+	uint32_t item_count;
+};
+
+static const struct field item_fields[] = {
+	{ .key = "name",
+	  .kind = FIELD_NAME,
+	  .offset = offsetof(struct item, name),
+	  .required = true,
+	  .min = 1,
+	  .max = 8,
+	  .help = "a name" },
+	{ .key = "count",
+	  .kind = FIELD_U32,
+	  .offset = offsetof(struct item, count),
+	  .max = 9,
+	  .fallback = 4,
+	  .help = "a count" },
+};
+static const struct shape item_shape = { item_fields, 2, sizeof(struct item) };
+
+static const struct field whole_fields[] = {
+	{ .key = "address",
+	  .kind = FIELD_ADDRESS,
+	  .offset = offsetof(struct whole, address),
+	  .max = 64,
+	  .help = "an address" },
+	{ .key = "flag",
+	  .kind = FIELD_BOOL,
+	  .offset = offsetof(struct whole, flag),
+	  .fallback = 1,
+	  .help = "a flag" },
+	{ .key = "number",
+	  .kind = FIELD_U64,
+	  .offset = offsetof(struct whole, number),
+	  .max = 1ULL << 52,
+	  .help = "a number" },
+	{ .key = "names",
+	  .kind = FIELD_NAMES,
+	  .offset = offsetof(struct whole, names),
+	  .count_offset = offsetof(struct whole, name_count),
+	  .max = 2,
+	  .help = "names" },
+	{ .key = "items",
+	  .kind = FIELD_OBJECTS,
+	  .offset = offsetof(struct whole, items),
+	  .count_offset = offsetof(struct whole, item_count),
+	  .max = 3,
+	  .shape = &item_shape,
+	  .help = "items" },
+};
+static const struct shape whole_shape = { whole_fields, 5, sizeof(struct whole) };
+
+/** Reads text; the errors are to be cleared by the caller. */
+static bool read_text(const char *text, struct whole *whole,
+		      struct shape_errors *errors)
+{
+	json_t *value;
+	bool read;
+
+	memset(whole, 0, sizeof(*whole));
+	*errors = shape_errors_new();
+	value = shape_parse(text, strlen(text), 4096, errors);
+	read = value && shape_read(&whole_shape, value, "", whole, errors);
+	json_decref(value);
+	return read;
+}
+
+static void reads_values_and_fallbacks(void)
+{
+	struct shape_errors errors;
+	struct whole whole;
+
+	g_assert_true(read_text("{\"address\":\"[::1]:80\",\"number\":7,"
+				"\"names\":[\"a\"],\"items\":[{\"name\":\"x\"},"
+				"{\"name\":\"y\",\"count\":2}]}",
+				&whole, &errors));
+	g_assert_cmpstr(whole.address, ==, "[::1]:80");
+	g_assert_true(whole.flag);
+	g_assert_cmpuint(whole.number, ==, 7);
+	g_assert_cmpuint(whole.item_count, ==, 2);
+	g_assert_cmpuint(whole.items[0].count, ==, 4);
+	g_assert_cmpuint(whole.items[1].count, ==, 2);
+	shape_clear(&whole_shape, &whole);
+	shape_errors_clear(&errors);
+}
+
+static void reports_all_errors_at_once(void)
+{
+	struct shape_errors errors;
+	struct whole whole;
+
+	g_assert_false(
+		read_text("{\"address\":\"here\",\"flag\":3,\"number\":-1,\"nmaes\":[],"
+			  "\"names\":[\"a b\",1],\"items\":[{\"count\":10}]}",
+			  &whole, &errors));
+	g_assert_cmpuint(errors.count, ==, 8);
+	assert_contains(errors.text->str, "nmaes: is not a known key");
+	assert_contains(errors.text->str, "address: \"here\" is not an address");
+	assert_contains(errors.text->str, "flag: must be true or false");
+	assert_contains(errors.text->str, "number: -1 is out of range");
+	assert_contains(errors.text->str, "names[0]: \"a b\" is not a name");
+	assert_contains(errors.text->str, "names[1]: must be a string");
+	assert_contains(errors.text->str, "items[0].name: is missing");
+	assert_contains(errors.text->str, "items[0].count: 10 is out of range");
+	shape_clear(&whole_shape, &whole);
+	shape_errors_clear(&errors);
+}
+
+static void bounds_sizes_counts_and_nesting(void)
+{
+	struct shape_errors errors;
+	struct whole whole;
+	char *deep = g_strnfill(3000, '[');
+
+	g_assert_false(read_text(deep, &whole, &errors));
+	shape_errors_clear(&errors);
+	g_free(deep);
+	g_assert_false(
+		read_text("{\"names\":[\"a\",\"b\",\"c\"]}", &whole, &errors));
+	assert_contains(errors.text->str, "names: has 3 items");
+	shape_clear(&whole_shape, &whole);
+	shape_errors_clear(&errors);
+	g_assert_false(read_text("{\"number\":1,\"number\":2}", &whole, &errors));
+	shape_errors_clear(&errors);
+	errors = shape_errors_new();
+	g_assert_null(shape_parse("{\"a\":1}", 7, 6, &errors));
+	assert_contains(errors.text->str, "at most 6 are allowed");
+	shape_errors_clear(&errors);
+}
+
+static void writes_what_it_read(void)
+{
+	const char *text = "{\"items\":[{\"name\":\"x\",\"count\":2}],"
+			   "\"names\":[\"n\"],\"flag\":false}";
+	struct shape_errors errors;
+	struct whole whole;
+	json_t *value, *first;
+
+	g_assert_true(read_text(text, &whole, &errors));
+	value = shape_write(&whole_shape, &whole);
+	first = json_array_get(json_object_get(value, "items"), 0);
+	g_assert_cmpint(json_integer_value(json_object_get(first, "count")), ==,
+			2);
+	g_assert_true(json_is_false(json_object_get(value, "flag")));
+	json_decref(value);
+	shape_clear(&whole_shape, &whole);
+	shape_errors_clear(&errors);
+}
+
+static void tells_addresses(void)
+{
+	static const char *const good[] = { "127.0.0.1:1", "[::1]:65535" };
+	static const char *const bad[] = { "127.0.0.1",	  "127.0.0.1:0",
+					   "127.0.0.1:x", "host:80",
+					   "::1:80",	  "1.2.3.4:65536" };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(good); i++)
+		g_assert_true(shape_is_address(good[i]));
+	for (i = 0; i < ARRAY_SIZE(bad); i++)
+		g_assert_false(shape_is_address(bad[i]));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("shape", reads_values_and_fallbacks);
+	ADD_TEST("shape", reports_all_errors_at_once);
+	ADD_TEST("shape", bounds_sizes_counts_and_nesting);
+	ADD_TEST("shape", writes_what_it_read);
+	ADD_TEST("shape", tells_addresses);
+	return g_test_run();
+}
