test: scenarios of orders in a small language, on a paused clock

Problem: nothing provoked the hard cases of at-most-once: a home that dies or pauses in mid order, a claim whose answer is lost, a store that comes and goes, a key with another body. The first run also showed a fault: a request that every server had refused waited for half its deadline for a slot of a server that it would not try again.

Solution: the daemon's way out (store, transport, fleet) goes through callbacks, so that several entry VMs run in one process on fakes and a clock that the scenario advances. A small language, lexed by GLib's scanner, drives them; each scenario also ends with a check that no order ran twice, no not-run answer was false, and no answer claimed a run that did not happen. A choice that has no untried server left now refuses at once.

--- a/src/backend/backends.c
+++ b/src/backend/backends.c
@@ -281,7 +281,8 @@
 		if (index >= 0)
 			break;
 		*refusal = BACKENDS_NONE;
-		if (!pick_usable_slots(group->servers, group->count, now_ms))
+		if (!pick_any_left(group->servers, group->count, request->tried,
+				   request->tried_count, now_ms))
 			break;
 		*refusal = BACKENDS_QUEUE_FULL;
 		if (!queued && group->waiting >= request->queue_max)
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -16,6 +16,12 @@
 	return read_clock(CLOCK_MONOTONIC);
 }
 
+static int64_t system_unix_ms(void *context)
+{
+	(void)context;
+	return read_clock(CLOCK_REALTIME) / NS_PER_MS;
+}
+
 static int64_t manual_now_ns(void *context)
 {
 	const struct clock_manual *manual = context;
@@ -23,7 +29,14 @@
 	return manual->now_ns;
 }
 
-const struct clock clock_system = { system_now_ns, NULL };
+static int64_t manual_unix_ms(void *context)
+{
+	const struct clock_manual *manual = context;
+
+	return manual->unix_ms;
+}
+
+const struct clock clock_system = { system_now_ns, system_unix_ms, NULL };
 
 int64_t clock_now_ns(const struct clock *clock)
 {
@@ -37,7 +50,7 @@
 
 struct clock clock_from_manual(struct clock_manual *manual)
 {
-	struct clock clock = { manual_now_ns, manual };
+	struct clock clock = { manual_now_ns, manual_unix_ms, manual };
 
 	return clock;
 }
@@ -45,9 +58,10 @@
 void clock_manual_advance_ms(struct clock_manual *manual, int64_t ms)
 {
 	manual->now_ns += ms * NS_PER_MS;
+	manual->unix_ms += ms;
 }
 
-int64_t clock_unix_ms(void)
+int64_t clock_unix_ms(const struct clock *clock)
 {
-	return read_clock(CLOCK_REALTIME) / NS_PER_MS;
+	return clock->unix_ms(clock->context);
 }
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -11,15 +11,17 @@
 #define NS_PER_MS INT64_C(1000000)
 #define MS_PER_S INT64_C(1000)
 
-/** A monotonic clock. */
+/** A monotonic clock, and the time of day that goes with it. */
 struct clock {
 	int64_t (*now_ns)(void *context);
+	int64_t (*unix_ms)(void *context);
 	void *context;
 };
 
 /** A clock that moves only when its owner advances it. */
 struct clock_manual {
 	int64_t now_ns;
+	int64_t unix_ms;
 };
 
 /** The machine's monotonic clock. */
@@ -43,6 +45,6 @@
  * @return wall-clock time in milliseconds since 1970. Used only in what is
  * exchanged with other machines, never to measure a duration.
  */
-int64_t clock_unix_ms(void);
+int64_t clock_unix_ms(const struct clock *clock);
 
 #endif
--- a/src/base/shape_internal.h
+++ b/src/base/shape_internal.h
@@ -33,7 +33,8 @@
 	memcpy((char *)object + field->offset, &list, sizeof(list));
 }
 
-static inline void set_number(void *object, const struct field *field, uint64_t number)
+static inline void set_number(void *object, const struct field *field,
+			      uint64_t number)
 {
 	char *place = (char *)object + field->offset;
 
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -135,6 +135,18 @@
 	return index;
 }
 
+bool pick_any_left(const struct pick_server *servers, uint32_t count,
+		   const uint32_t *tried, uint32_t tried_count, int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (is_usable(&servers[i], now_ms) &&
+		    !was_tried(i, tried, tried_count))
+			return true;
+	return false;
+}
+
 static bool may_eject(const struct pick_server *servers, uint32_t count,
 		      int64_t now_ms)
 {
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -65,6 +65,13 @@
 		const uint32_t *tried, uint32_t tried_count, uint64_t draw,
 		int64_t now_ms);
 
+/**
+ * @return whether a server that was not tried may be used, busy or not; if
+ * none, waiting for a slot is in vain.
+ */
+bool pick_any_left(const struct pick_server *servers, uint32_t count,
+		   const uint32_t *tried, uint32_t tried_count, int64_t now_ms);
+
 /** Returns the slot taken by pick_choose() and notes the outcome. */
 void pick_finish(struct pick_server *servers, uint32_t count, uint32_t index,
 		 enum pick_outcome outcome, int64_t now_ms);
--- a/src/entry/claims.c
+++ b/src/entry/claims.c
@@ -8,7 +8,6 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/ring.h"
-#include "peer/peer.h"
 
 #define RING_SLOTS 4096
 #define BATCH_MAX 32
@@ -139,7 +138,7 @@
 	if (entry->unclaimed == unclaimed)
 		return;
 	entry->unclaimed = unclaimed;
-	peer_set_flag(entry->peer, MEMBER_UNCLAIMED, unclaimed);
+	entry->fleet.set_unclaimed(entry->fleet.context, unclaimed);
 	log_warn("order", "%s",
 		 unclaimed ? "store is away: new keys run without claims"
 			   : "store is back: new keys are claimed");
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -34,6 +34,34 @@
 struct watch;
 struct probe;
 
+/** How requests leave this process: to backend servers and entry VMs. */
+struct entry_transport {
+	/**
+	 * @param pool kept connections to the address; NULL: connect anew.
+	 * @param fresh_ms as for http_pool_exchange().
+	 */
+	enum http_result (*send)(void *context, const char *address,
+				 struct http_pool *pool,
+				 const struct http_request *request,
+				 uint32_t fresh_ms, struct http_answer *answer);
+	void *context;
+};
+
+/** What this process asks of the other entry VMs. */
+struct entry_fleet {
+	/**
+	 * Copies the address, of up to 65 bytes, of an entry VM.
+	 *
+	 * @return false when it is dead or has another incarnation.
+	 */
+	bool (*find)(void *context, const char *name, uint64_t incarnation,
+		     char *address);
+	void (*tell_leaving)(void *context, const char *backend);
+	void (*tell_quarantined)(void *context, uint64_t fingerprint);
+	void (*set_unclaimed)(void *context, bool unclaimed);
+	void *context;
+};
+
 /** What a service has in progress here, and its retry budget. */
 struct service_state {
 	char name[65];
@@ -51,6 +79,8 @@
 	struct backends *backends;
 	struct steering_table *steering;
 	struct peer *peer;
+	struct entry_fleet fleet;
+	struct entry_transport transport;
 	struct store store;
 	struct explain *explain;
 	struct claims *claims;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -117,7 +117,8 @@
 		 "quarantined a request that breaks servers "
 		 "fingerprint=%016llx last_server=%s",
 		 (unsigned long long)exchange->fingerprint, backend->name);
-	peer_tell_quarantined(entry->peer, exchange->fingerprint);
+	entry->fleet.tell_quarantined(entry->fleet.context,
+				      exchange->fingerprint);
 }
 
 static void note_leaving(struct entry *entry, const struct backend *backend,
@@ -130,7 +131,7 @@
 		return;
 	log_info("backend", "is leaving by its own signal server=%s",
 		 backend->name);
-	peer_tell_leaving(entry->peer, backend->name);
+	entry->fleet.tell_leaving(entry->fleet.context, backend->name);
 }
 
 static struct attempt try_server(struct entry *entry, struct exchange *exchange,
@@ -153,7 +154,10 @@
 
 	counter_add(COUNTER_ATTEMPTS, 1);
 	exchange->attempts++;
-	result = http_pool_exchange(backend->pool, &request, fresh_ms, &answer);
+	result = entry->transport.send(entry->transport.context,
+				       http_pool_address(backend->pool),
+				       backend->pool, &request, fresh_ms,
+				       &answer);
 	attempt = judge(exchange, result, &answer);
 	if (result == HTTP_WHOLE)
 		note_leaving(entry, backend, &answer);
--- a/src/entry/lookup.c
+++ b/src/entry/lookup.c
@@ -125,7 +125,7 @@
 	struct order_key key = {
 		.incarnation = home->incarnation,
 		.claimed = !(home->flags & MEMBER_UNCLAIMED),
-		.issued_unix_s = clock_unix_ms() / MS_PER_S,
+		.issued_unix_s = clock_unix_ms(&clock_system) / MS_PER_S,
 	};
 	char prefix[KEY_PREFIX_BYTES];
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -10,11 +10,12 @@
 #include "entry/admin.h"
 #include "entry/claims.h"
 #include "entry/entry_defs.h"
-#include "entry/explain.h"
 #include "entry/leave.h"
 #include "entry/lookup.h"
+#include "entry/outside.h"
 #include "entry/probe.h"
 #include "entry/serve.h"
+#include "entry/state.h"
 #include "entry/steering.h"
 #include "entry/watch.h"
 #include "http/http_server.h"
@@ -32,15 +33,6 @@
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
 
-static void on_document(void *context, const struct document *doc)
-{
-	struct entry *entry = context;
-
-	backends_apply(entry->backends, doc);
-	steering_apply(entry->steering, doc);
-	serve_apply(entry, doc);
-}
-
 static void on_backend_leaving(void *context, const char *backend)
 {
 	struct entry *entry = context;
@@ -104,18 +96,6 @@
 	return peer_start(&options, &callbacks, entry->current);
 }
 
-static void init_locks(struct entry *entry)
-{
-	pthread_condattr_t attributes;
-
-	pthread_mutex_init(&entry->state_lock, NULL);
-	pthread_mutex_init(&entry->order_lock, NULL);
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&entry->order_done, &attributes);
-	pthread_condattr_destroy(&attributes);
-}
-
 static struct mg_context *start_server(struct entry *entry)
 {
 	struct http_server_options options = {
@@ -160,21 +140,15 @@
 	int code = EXIT_FAILED;
 
 	entry->clock = clock_system;
-	entry->started_ms = clock_now_ms(&entry->clock);
-	entry->incarnation = (uint64_t)clock_unix_ms();
-	init_locks(entry);
-	entry->current = current_new(on_document, entry);
-	entry->backends =
-		backends_new(entry->settings.failure_domain, &entry->clock);
-	entry->explain = explain_new();
-	entry->orders = orders_new(entry->settings.orders_max,
-				   entry->settings.order_answer_bytes_max);
+	entry->incarnation = (uint64_t)clock_unix_ms(&entry->clock);
+	if (!state_init(entry))
+		goto out;
 	etcd = store_etcd_new(entry->settings.store,
 			      entry->settings.store_timeout_ms);
-	if (!entry->current || !entry->backends || !entry->explain ||
-	    !entry->orders || !etcd)
+	if (!etcd)
 		goto out;
 	entry->store = store_etcd_store(etcd);
+	outside_connect(entry);
 	entry->steering = steering_new(&entry->clock);
 	if (!entry->steering)
 		goto out;
@@ -193,10 +167,7 @@
 	peer_stop(entry->peer);
 	steering_free(entry->steering);
 	store_etcd_free(etcd);
-	orders_free(entry->orders);
-	explain_free(entry->explain);
-	backends_free(entry->backends);
-	current_free(entry->current);
+	state_clear(entry);
 	return code;
 }
 
--- a/src/entry/order.c
+++ b/src/entry/order.c
@@ -54,9 +54,11 @@
 	return !keyed->issued || keyed->parts.claimed;
 }
 
-static bool is_too_old(const struct exchange *exchange, const struct keyed *keyed)
+static bool is_too_old(const struct entry *entry,
+		       const struct exchange *exchange, const struct keyed *keyed)
 {
-	int64_t age_s = clock_unix_ms() / MS_PER_S - keyed->parts.issued_unix_s;
+	int64_t age_s = clock_unix_ms(&entry->clock) / MS_PER_S -
+			keyed->parts.issued_unix_s;
 	int64_t life_s =
 		exchange->service->order_memory_ms / MS_PER_S / KEY_LIFE_PART;
 
@@ -321,7 +323,8 @@
 		       "its home is gone and kept no claim");
 		return;
 	}
-	if (is_too_old(exchange, keyed) && !is_remembered(entry, keyed->key)) {
+	if (is_too_old(entry, exchange, keyed) &&
+	    !is_remembered(entry, keyed->key)) {
 		refuse(entry, exchange, VERDICT_MAY_HAVE_RUN, 409,
 		       "the key is too old: it may have run before");
 		return;
--- /dev/null
+++ b/src/entry/outside.c
@@ -0,0 +1,77 @@
+#include "entry/outside.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static enum http_result send(void *context, const char *address,
+			     struct http_pool *pool,
+			     const struct http_request *request,
+			     uint32_t fresh_ms, struct http_answer *answer)
+{
+	enum http_result result = HTTP_NOT_SENT;
+	struct http_connection *connection;
+
+	(void)context;
+	if (pool)
+		return http_pool_exchange(pool, request, fresh_ms, answer);
+	connection = http_connect(address, request->deadline_ns);
+	if (connection)
+		result = http_exchange(connection, request, answer);
+	http_close(connection);
+	return result;
+}
+
+static bool find(void *context, const char *name, uint64_t incarnation,
+		 char *address)
+{
+	struct entry *entry = context;
+	struct peer_view *view = peer_view_get(entry->peer);
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < view->member_count && !found; i++) {
+		const struct member *member = &view->members[i];
+
+		if (strcmp(member->name, name) != 0 ||
+		    member->incarnation != incarnation ||
+		    member->state == MEMBER_DEAD)
+			continue;
+		memcpy(address, member->http_address, MEMBER_ADDRESS_BYTES);
+		found = true;
+	}
+	peer_view_release(view);
+	return found;
+}
+
+static void tell_leaving(void *context, const char *backend)
+{
+	struct entry *entry = context;
+
+	peer_tell_leaving(entry->peer, backend);
+}
+
+static void tell_quarantined(void *context, uint64_t fingerprint)
+{
+	struct entry *entry = context;
+
+	peer_tell_quarantined(entry->peer, fingerprint);
+}
+
+static void set_unclaimed(void *context, bool unclaimed)
+{
+	struct entry *entry = context;
+
+	peer_set_flag(entry->peer, MEMBER_UNCLAIMED, unclaimed);
+}
+
+void outside_connect(struct entry *entry)
+{
+	entry->transport = (struct entry_transport){ send, entry };
+	entry->fleet = (struct entry_fleet){
+		.find = find,
+		.tell_leaving = tell_leaving,
+		.tell_quarantined = tell_quarantined,
+		.set_unclaimed = set_unclaimed,
+		.context = entry,
+	};
+}
--- a/src/entry/pass.c
+++ b/src/entry/pass.c
@@ -9,28 +9,6 @@
 /* the home's answer needs a little of the time on its way back */
 #define RETURN_MS 20
 
-/** Copies the home's address. @return whether it lives as the key says. */
-static bool find_home(struct entry *entry, const struct order_key *home,
-		      char *address, size_t address_bytes)
-{
-	struct peer_view *view = peer_view_get(entry->peer);
-	bool found = false;
-	uint32_t i;
-
-	for (i = 0; i < view->member_count && !found; i++) {
-		const struct member *member = &view->members[i];
-
-		if (strcmp(member->name, home->home) ||
-		    member->incarnation != home->incarnation ||
-		    member->state == MEMBER_DEAD)
-			continue;
-		g_strlcpy(address, member->http_address, address_bytes);
-		found = true;
-	}
-	peer_view_release(view);
-	return found;
-}
-
 static enum verdict verdict_of(const struct http_answer *answer)
 {
 	const char *text = http_answer_header(answer, VERDICT_HEADER);
@@ -42,7 +20,8 @@
 	return VERDICT_MAY_HAVE_RUN;
 }
 
-static enum http_result send_home(const struct exchange *exchange,
+static enum http_result send_home(struct entry *entry,
+				  const struct exchange *exchange,
 				  const char *address, struct http_answer *answer)
 {
 	char *headers =
@@ -56,13 +35,10 @@
 		.answer_bytes_max = exchange->service->answer_bytes_max,
 		.deadline_ns = exchange->deadline_ns + RETURN_MS * NS_PER_MS,
 	};
-	enum http_result result = HTTP_NOT_SENT;
-	struct http_connection *connection;
+	enum http_result result;
 
-	connection = http_connect(address, exchange->deadline_ns);
-	if (connection)
-		result = http_exchange(connection, &request, answer);
-	http_close(connection);
+	result = entry->transport.send(entry->transport.context, address, NULL,
+				       &request, 0, answer);
 	g_free(headers);
 	return result;
 }
@@ -74,10 +50,11 @@
 	enum http_result result;
 	char address[65];
 
-	if (!find_home(entry, home, address, sizeof(address)))
+	if (!entry->fleet.find(entry->fleet.context, home->home,
+			       home->incarnation, address))
 		return false;
 	counter_add(COUNTER_ORDERS_PASSED_HOME, 1);
-	result = send_home(exchange, address, &answer);
+	result = send_home(entry, exchange, address, &answer);
 	explain_add(entry->explain, exchange->request_id,
 		    "order passed to its home home=%s result=%s", home->home,
 		    result == HTTP_WHOLE      ? "answered"
--- a/src/entry/probe.c
+++ b/src/entry/probe.c
@@ -58,7 +58,7 @@
 	log_info("backend", "%s by its own signal server=%s",
 		 leaving ? "is leaving" : "stays", state->name);
 	if (leaving)
-		peer_tell_leaving(entry->peer, state->name);
+		entry->fleet.tell_leaving(entry->fleet.context, state->name);
 	else
 		backends_set_leaving(entry->backends, state->name,
 				     PICK_LEAVING_PEER, false);
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -48,11 +48,12 @@
 }
 
 /** Lines for the backend server: the caller's, the id and the deadline. */
-static char *request_headers(const struct mg_request_info *info,
+static char *request_headers(const struct entry *entry,
+			     const struct mg_request_info *info,
 			     const struct exchange *exchange)
 {
 	GString *text = g_string_sized_new(512);
-	int64_t left_ms = (exchange->deadline_ns - clock_now_ns(&clock_system)) /
+	int64_t left_ms = (exchange->deadline_ns - clock_now_ns(&entry->clock)) /
 			  NS_PER_MS;
 	int i;
 
@@ -64,7 +65,8 @@
 	g_string_append_printf(text,
 			       HEADER_REQUEST_ID ": %s\r\n" HEADER_DEADLINE
 						 ": %" PRId64 "\r\n",
-			       exchange->request_id, clock_unix_ms() + left_ms);
+			       exchange->request_id,
+			       clock_unix_ms(&entry->clock) + left_ms);
 	return g_string_free(text, FALSE);
 }
 
@@ -85,7 +87,8 @@
 	int64_t asked_ms;
 
 	if (asked) {
-		asked_ms = g_ascii_strtoll(asked, NULL, 10) - clock_unix_ms();
+		asked_ms = g_ascii_strtoll(asked, NULL, 10) -
+			   clock_unix_ms(&entry->clock);
 		if (asked_ms < left_ms)
 			left_ms = asked_ms;
 	}
@@ -246,7 +249,7 @@
 		deadline_of(entry, exchange->service,
 			    mg_get_header(connection, HEADER_DEADLINE));
 	exchange->passed = mg_get_header(connection, HEADER_PASSED);
-	exchange->headers = request_headers(info, exchange);
+	exchange->headers = request_headers(entry, info, exchange);
 	exchange->fingerprint =
 		order_digest(exchange->method, exchange->path, exchange->body,
 			     exchange->body_bytes);
--- a/src/peer/gossip.c
+++ b/src/peer/gossip.c
@@ -211,7 +211,7 @@
 
 	memset(&digest, 0, sizeof(digest));
 	memcpy(digest.name, self->failure_domain, sizeof(digest.name));
-	digest.stamp = (uint64_t)clock_unix_ms();
+	digest.stamp = (uint64_t)clock_unix_ms(&clock_system);
 	digest.table_hash = member_table_hash(peer->table);
 	digest.version_count = member_versions(peer->table, digest.versions,
 					       MEMBER_VERSIONS_MAX);
--- a/src/store/publish.c
+++ b/src/store/publish.c
@@ -61,8 +61,9 @@
 			   (json_int_t)publication->version, "change_id",
 			   change_id_of(publication->value), "author",
 			   publication->author, "comment", publication->comment,
-			   "unix_ms", (json_int_t)clock_unix_ms(), "change_count",
-			   (int)json_array_size(changes), "changes", changes);
+			   "unix_ms", (json_int_t)clock_unix_ms(&clock_system),
+			   "change_count", (int)json_array_size(changes),
+			   "changes", changes);
 	text = json_dumps(record, JSON_COMPACT);
 	if (text && strlen(text) > CHANGES_BYTES_MAX) {
 		free(text);
--- a/standin/backend_main.c
+++ b/standin/backend_main.c
@@ -99,7 +99,8 @@
 	const char *deadline =
 		mg_get_header(connection, "Auburnreach-Deadline-Unix-Ms");
 
-	return deadline && clock_unix_ms() >= g_ascii_strtoll(deadline, NULL, 10);
+	return deadline && clock_unix_ms(&clock_system) >=
+				   g_ascii_strtoll(deadline, NULL, 10);
 }
 
 /** @return whether the fault took the place of the answer. */
