--- a/bench/ports.c
+++ b/bench/ports.c
@@ -1,6 +1,6 @@
 #include <arpa/inet.h>
+#include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -8,46 +8,52 @@
 
 #define PORTS_MAX 2000
 
-/** Binds to a port that the system picks. @return a socket, or -1. */
-static int bind_any(uint16_t *port)
+/* Below the range from which the system gives ports to connections that go
+ * out: a port that was free stays free until its program starts. */
+#define PORT_FIRST 10000
+#define PORT_LAST 32000
+
+/** Binds to a port. @return a socket, or -1 when the port is taken. */
+static int bind_port(uint16_t port)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
+		.sin_port = htons(port),
 		.sin_addr = { htonl(INADDR_LOOPBACK) },
 	};
-	socklen_t bytes = sizeof(address);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	if (fd < 0)
 		return -1;
-	if (bind(fd, (struct sockaddr *)&address, bytes) ||
-	    getsockname(fd, (struct sockaddr *)&address, &bytes)) {
-		close(fd);
-		return -1;
-	}
-	*port = ntohs(address.sin_port);
-	return fd;
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		return fd;
+	close(fd);
+	return -1;
 }
 
 /** Prints free ports of the loopback address, one a line. */
 int bench_ports(int argc, char **argv)
 {
 	int wanted = argc > 1 ? atoi(argv[1]) : 1;
+	int port = g_random_int_range(PORT_FIRST, PORT_LAST);
 	int fds[PORTS_MAX];
-	uint16_t port;
-	int i, held;
+	int tries, held = 0;
 
 	if (wanted < 1 || wanted > PORTS_MAX) {
 		fprintf(stderr, BENCH_PROGRAM " ports: 1 to %d\n", PORTS_MAX);
 		return 2;
 	}
-	for (held = 0; held < wanted; held++) {
-		fds[held] = bind_any(&port);
+	for (tries = PORT_FIRST; tries < PORT_LAST && held < wanted; tries++) {
+		if (++port == PORT_LAST)
+			port = PORT_FIRST;
+		fds[held] = bind_port((uint16_t)port);
 		if (fds[held] < 0)
-			break;
-		printf("%u\n", port);
+			continue;
+		printf("%d\n", port);
+		held++;
 	}
-	for (i = 0; i < held; i++)
-		close(fds[i]);
-	return held == wanted ? 0 : 1;
+	wanted -= held;
+	while (held)
+		close(fds[--held]);
+	return wanted ? 1 : 0;
 }
--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -61,7 +61,7 @@
 	cat >"$OUT/$1.json" <<-EOF
 	{"name": "$1", "failure_domain": "${ENTRY_DOMAIN[$1]}",
 	 "listen": "${ENTRY_ADDRESS[$1]}", "peer_listen": "${PEER_ADDRESS[$1]}",
-	 "seeds": [$SEEDS], "store": "$STORE", "heartbeat_ms": 500,
+	 "seeds": [$SEEDS], "store": "$STORE", "heartbeat_ms": ${HEARTBEAT_MS:-500},
 	 "leave_spread_ms": 2000, "test_seams": true, $KEYS ${ENTRY_EXTRA:-}}
 	EOF
 	fleet_spawn "$OUT/$1.log" "$BUILD/auburnreachd" \
--- /dev/null
+++ b/src/console/change.c
@@ -0,0 +1,304 @@
+#include "console/change.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "console/guard.h"
+#include "console/page.h"
+#include "document/diff.h"
+#include "document/document.h"
+#include "document/edit.h"
+#include "store/publish.h"
+
+#define SHARE_PREFIX "share:"
+#define NUMBER_PREFIX "number:"
+
+/** Reads a whole number. @return -1 for anything else. */
+static json_int_t number_of(const char *text)
+{
+	char *end;
+	gint64 value = g_ascii_strtoll(text, &end, 10);
+
+	return *text && !*end && value >= 0 ? value : -1;
+}
+
+static const char *apply_shares(json_t *doc, const struct form *form)
+{
+	json_t *shares = json_object();
+	const char *problem;
+	int i;
+
+	for (i = 0; i < form->field_count; i++) {
+		const struct mg_header *field = &form->fields[i];
+
+		if (!g_str_has_prefix(field->name, SHARE_PREFIX) ||
+		    !*field->value || !strcmp(field->value, "0"))
+			continue;
+		json_object_set_new(shares, field->name + strlen(SHARE_PREFIX),
+				    json_integer(number_of(field->value)));
+	}
+	problem = edit_shares(doc, form_get(form, "service"),
+			      form_get(form, "from"), shares);
+	if (!problem && *form_get(form, "cap"))
+		problem = edit_cap(
+			doc, form_get(form, "service"), form_get(form, "from"),
+			(uint32_t)number_of(form_get(form, "cap")),
+			(uint32_t)number_of(form_get(form, "window_ms")));
+	json_decref(shares);
+	return problem;
+}
+
+static const char *apply_service(json_t *doc, const struct form *form)
+{
+	const char *problem = NULL;
+	int i;
+
+	for (i = 0; i < form->field_count && !problem; i++) {
+		const struct mg_header *field = &form->fields[i];
+
+		if (g_str_has_prefix(field->name, NUMBER_PREFIX))
+			problem = edit_service(
+				doc, form_get(form, "name"),
+				field->name + strlen(NUMBER_PREFIX),
+				number_of(field->value));
+	}
+	return problem;
+}
+
+const char *change_apply(json_t *doc, const struct form *form)
+{
+	const char *change = form_get(form, "change");
+	bool leaving = !strcmp(form_get(form, "leaving"), "yes");
+
+	if (!strcmp(change, "backend"))
+		return edit_backend_leaving(doc, form_get(form, "name"),
+					    leaving);
+	if (!strcmp(change, "entry"))
+		return edit_entry_leaving(doc, form_get(form, "name"),
+					  leaving);
+	if (!strcmp(change, "shares"))
+		return apply_shares(doc, form);
+	if (!strcmp(change, "link"))
+		return edit_link(
+			doc, form_get(form, "from"), form_get(form, "to"),
+			(uint32_t)number_of(form_get(form, "mbit_per_s")));
+	if (!strcmp(change, "service"))
+		return apply_service(doc, form);
+	return "the form names no change that the console knows";
+}
+
+json_t *change_read(struct console *console, struct mg_connection *connection,
+		    const char *operator_name)
+{
+	enum store_result result;
+	json_t *doc = NULL;
+	GString *page;
+
+	result = publish_read(&console->store, &doc);
+	if (doc)
+		return doc;
+	page = page_begin("No document", operator_name);
+	page_html(page, "<p class=\"bad\">");
+	page_text(page, "%s",
+		  result == STORE_OK ?
+			  "The store holds no document yet. Publish a first "
+			  "one with auburnreachctl publish." :
+			  "The store does not answer. What is in force stays "
+			  "in force; try again later.");
+	page_html(page, "</p>");
+	page_send(connection, 503, page);
+	return NULL;
+}
+
+static uint64_t version_of(json_t *doc)
+{
+	return (uint64_t)json_integer_value(json_object_get(doc, "version"));
+}
+
+/** Carries a form's own fields over to the next form. */
+static void carry_fields(GString *page, const struct form *form)
+{
+	int i;
+
+	for (i = 0; i < form->field_count; i++)
+		if (strcmp(form->fields[i].name, "token") != 0 &&
+		    strcmp(form->fields[i].name, "base_version") != 0 &&
+		    strcmp(form->fields[i].name, "comment") != 0)
+			page_hidden(page, form->fields[i].name,
+				    form->fields[i].value);
+}
+
+static void publish_form(struct console *console, GString *page,
+			 const char *operator_name, const struct form *form,
+			 uint64_t base_version)
+{
+	char *token = guard_token(console, operator_name);
+	char base[24];
+
+	g_snprintf(base, sizeof(base), "%" PRIu64, base_version);
+	page_form_begin(page, "/publish", token);
+	carry_fields(page, form);
+	page_hidden(page, "base_version", base);
+	page_input(page, "Why", "comment", "text", form_get(form, "comment"));
+	page_form_end(page, "Publish");
+	g_free(token);
+}
+
+static bool show_errors(GString *page, json_t *doc, const char *problem)
+{
+	struct shape_errors errors = shape_errors_new();
+	struct document *checked = NULL;
+	bool good;
+
+	if (problem)
+		shape_error(&errors, "change", "%s", problem);
+	else
+		checked = document_from_json(doc, &errors);
+	good = checked;
+	if (!good) {
+		page_html(page, "<p class=\"bad\">");
+		page_text(page, "This cannot be published:\n%s",
+			  errors.text->str);
+		page_html(page, "</p>");
+	}
+	document_free(checked);
+	shape_errors_clear(&errors);
+	return good;
+}
+
+void change_review(struct console *console, struct mg_connection *connection,
+		   const char *operator_name, const struct form *form)
+{
+	json_t *held = change_read(console, connection, operator_name);
+	json_t *wanted, *differences;
+	const char *problem;
+	GString *page;
+
+	if (!held)
+		return;
+	wanted = json_deep_copy(held);
+	problem = change_apply(wanted, form);
+	differences = diff_documents(held, wanted);
+	page = page_begin("Review", operator_name);
+	page_differences(page, differences, operator_name);
+	if (!show_errors(page, wanted, problem))
+		page_html(page, "<p>Go back and correct it.</p>");
+	else if (!json_array_size(differences))
+		page_html(page, "<p>This changes nothing.</p>");
+	else
+		publish_form(console, page, operator_name, form,
+			     version_of(held));
+	page_send(connection, 200, page);
+	json_decref(differences);
+	json_decref(wanted);
+	json_decref(held);
+}
+
+/** Shows what other operators changed in the same fields meanwhile. */
+static void show_conflicts(struct console *console,
+			   struct mg_connection *connection,
+			   const char *operator_name, const struct form *form,
+			   json_t *conflicts, uint64_t version)
+{
+	GString *page = page_begin("Changed meanwhile", operator_name);
+
+	page_html(page, "<p class=\"bad\">Another operator changed these "
+			"fields since you looked. Nothing of yours was "
+			"published.</p>");
+	page_differences(page, conflicts, "");
+	page_html(page, "<p>To put your change on top of theirs, publish "
+			"again.</p>");
+	publish_form(console, page, operator_name, form, version);
+	page_send(connection, 409, page);
+}
+
+static void show_outcome(struct mg_connection *connection,
+			 const char *operator_name, enum publish_result result,
+			 const struct publication *publication,
+			 const struct shape_errors *errors)
+{
+	static const char *const texts[] = {
+		[PUBLISH_INVALID] = "It is not valid; nothing was published.",
+		[PUBLISH_CONFLICT] = "Another publication came first; nothing "
+				     "of yours was published. Go back and "
+				     "review it again.",
+		[PUBLISH_UNREACHABLE] = "The store does not answer; nothing "
+					"was published.",
+		[PUBLISH_UNKNOWN] = "The store did not say whether it was "
+				    "published. Look at the history before "
+				    "you publish again.",
+	};
+	GString *page = page_begin(result == PUBLISH_DONE ? "Published" :
+							    "Not published",
+				   operator_name);
+
+	if (result == PUBLISH_DONE) {
+		page_html(page, "<p class=\"good\">");
+		page_text(page, "Version %" PRIu64 " is published. ",
+			  publication->version);
+		page_html(page, "<a href=\"/\">See where it is in force."
+				"</a></p>");
+	} else {
+		page_html(page, "<p class=\"bad\">");
+		page_text(page, "%s\n%s", texts[result], errors->text->str);
+		page_html(page, "</p>");
+	}
+	page_send(connection, result == PUBLISH_DONE ? 200 : 409, page);
+}
+
+static void publish_on(struct console *console,
+		       struct mg_connection *connection,
+		       const char *operator_name, const struct form *form,
+		       json_t *held)
+{
+	struct shape_errors errors = shape_errors_new();
+	struct publication publication = {
+		.value = json_deep_copy(held),
+		.base_version = version_of(held),
+		.author = operator_name,
+		.comment = form_get(form, "comment"),
+	};
+	enum publish_result result = PUBLISH_INVALID;
+	const char *problem = change_apply(publication.value, form);
+
+	if (problem)
+		shape_error(&errors, "change", "%s", problem);
+	else
+		result = publish_run(&console->store, &publication, &errors);
+	if (result == PUBLISH_DONE)
+		log_info("console", "published version=%" PRIu64 " operator=%s",
+			 publication.version, operator_name);
+	show_outcome(connection, operator_name, result, &publication, &errors);
+	json_decref(publication.conflict);
+	json_decref(publication.value);
+	shape_errors_clear(&errors);
+}
+
+void change_publish(struct console *console, struct mg_connection *connection,
+		    const char *operator_name, const struct form *form)
+{
+	json_t *held = change_read(console, connection, operator_name);
+	json_t *wanted, *mine, *theirs, *conflicts;
+
+	if (!held)
+		return;
+	wanted = json_deep_copy(held);
+	change_apply(wanted, form);
+	mine = diff_documents(held, wanted);
+	theirs = publish_changes_since(
+		&console->store,
+		g_ascii_strtoull(form_get(form, "base_version"), NULL, 10));
+	conflicts = diff_conflicts(mine, theirs);
+	if (json_array_size(conflicts))
+		show_conflicts(console, connection, operator_name, form,
+			       conflicts, version_of(held));
+	else
+		publish_on(console, connection, operator_name, form, held);
+	json_decref(conflicts);
+	json_decref(theirs);
+	json_decref(mine);
+	json_decref(wanted);
+	json_decref(held);
+}
--- /dev/null
+++ b/src/console/console_defs.h
@@ -0,0 +1,50 @@
+#ifndef CONSOLE_CONSOLE_DEFS_H
+#define CONSOLE_CONSOLE_DEFS_H
+
+#include <civetweb.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "base/shape.h"
+#include "store/store_defs.h"
+
+/**
+ * @file
+ * What the console's parts share.
+ */
+
+#define CONSOLE_PROGRAM "auburnreach-console"
+
+struct console_operator {
+	char *name;
+	char *password_hash;
+};
+
+struct console_settings {
+	char *listen;
+	char *certificate;
+	char *store;
+	char *entry;
+	struct console_operator *operators;
+	uint32_t operator_count;
+};
+
+struct console {
+	struct console_settings settings;
+	struct store store;
+	char *secret; /**< of this process, for the tokens of forms */
+};
+
+/** The fields of a submitted form. */
+struct form {
+	char *text; /**< owns what the fields point to */
+	struct mg_header fields[64];
+	int field_count;
+};
+
+/** @return a field's value, or "". */
+const char *form_get(const struct form *form, const char *name);
+
+extern const struct shape console_settings_shape;
+
+#endif
--- /dev/null
+++ b/src/console/forms.c
@@ -0,0 +1,397 @@
+#include "console/forms.h"
+
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "console/change.h"
+#include "console/guard.h"
+#include "console/page.h"
+#include "http/http_client.h"
+#include "store/publish.h"
+
+#define ENTRY_TIMEOUT_MS 2000
+#define ANSWER_BYTES_MAX (4 * 1024 * 1024)
+
+/** A page that is being made. */
+struct view {
+	struct console *console;
+	struct mg_connection *connection;
+	const char *operator_name;
+	char *token;
+	json_t *doc;
+	GString *page;
+};
+
+static const char *text_of(json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+static json_int_t number_of(json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+/** @return false once the request has been answered otherwise. */
+static bool view_begin(struct view *view, struct mg_connection *connection,
+		       void *context, const char *title, bool needs_doc)
+{
+	memset(view, 0, sizeof(*view));
+	view->console = context;
+	view->connection = connection;
+	view->operator_name = guard_operator(context, connection);
+	if (!view->operator_name)
+		return false;
+	if (needs_doc) {
+		view->doc = change_read(context, connection,
+					view->operator_name);
+		if (!view->doc)
+			return false;
+	}
+	view->token = guard_token(context, view->operator_name);
+	view->page = page_begin(title, view->operator_name);
+	return true;
+}
+
+static int view_end(struct view *view)
+{
+	page_send(view->connection, 200, view->page);
+	json_decref(view->doc);
+	g_free(view->token);
+	return 200;
+}
+
+/** Begins a form that goes to the review of one kind of change. */
+static void begin_change(struct view *view, const char *change)
+{
+	page_form_begin(view->page, "/review", view->token);
+	page_hidden(view->page, "change", change);
+}
+
+/** Asks the entry VM for the fleet's state. @return NULL without answer. */
+static json_t *read_status(const struct console *console)
+{
+	struct http_request request = {
+		.method = "GET",
+		.path = "/v1/status",
+		.answer_bytes_max = ANSWER_BYTES_MAX,
+		.deadline_ns = clock_now_ns(&clock_system) +
+			       ENTRY_TIMEOUT_MS * NS_PER_MS,
+	};
+	struct http_connection *connection =
+		http_connect(console->settings.entry, request.deadline_ns);
+	struct http_answer answer = { 0 };
+	json_t *status = NULL;
+
+	if (connection &&
+	    http_exchange(connection, &request, &answer) == HTTP_WHOLE)
+		status = json_loadb(answer.body ? answer.body : "",
+				    answer.body_bytes, 0, NULL);
+	http_answer_clear(&answer);
+	http_close(connection);
+	return status;
+}
+
+static void show_in_force(struct view *view, json_t *status, json_int_t version)
+{
+	json_int_t in_force = 0, all = 0;
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (json_object_get(status, "versions"), i, item) {
+		all += number_of(item, "count");
+		if (number_of(item, "version") >= version)
+			in_force += number_of(item, "count");
+	}
+	page_html(view->page, in_force == all && all ? "<p class=\"good\">" :
+						       "<p class=\"bad\">");
+	page_text(view->page,
+		  "Version %" JSON_INTEGER_FORMAT
+		  " is in force on %" JSON_INTEGER_FORMAT
+		  " of %" JSON_INTEGER_FORMAT " entry VMs.",
+		  version, in_force, all);
+	page_html(view->page, "</p>");
+}
+
+static void show_members(struct view *view, json_t *status)
+{
+	json_t *item;
+	size_t i;
+
+	page_html(view->page, "<h2>Entry VMs</h2><table><tr><th>Name</th><th>"
+			      "Failure domain</th><th>State</th><th>Address"
+			      "</th></tr>");
+	json_array_foreach (json_object_get(status, "members"), i, item) {
+		page_html(view->page, "<tr>");
+		page_cell(view->page, "%s", text_of(item, "name"));
+		page_cell(view->page, "%s", text_of(item, "failure_domain"));
+		page_cell(view->page, "%s%s", text_of(item, "state"),
+			  json_is_true(json_object_get(item, "leaving")) ?
+				  ", leaving" :
+				  "");
+		page_cell(view->page, "%s", text_of(item, "address"));
+		page_html(view->page, "</tr>");
+	}
+	page_html(view->page, "</table>");
+}
+
+int forms_fleet(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *status;
+
+	if (strcmp(mg_get_request_info(connection)->local_uri, "/") != 0) {
+		mg_send_http_error(connection, 404, "%s", "no such page");
+		return 404;
+	}
+	if (!view_begin(&view, connection, context, "Fleet", true))
+		return 200;
+	status = read_status(view.console);
+	if (status) {
+		show_in_force(&view, status, number_of(view.doc, "version"));
+		show_members(&view, status);
+	} else {
+		page_html(view.page, "<p class=\"bad\">The entry VM does not "
+				     "answer: where the document is in force "
+				     "is not known.</p>");
+	}
+	json_decref(status);
+	return view_end(&view);
+}
+
+static json_int_t share_to(json_t *steering, const char *region)
+{
+	json_t *share;
+	size_t i;
+
+	json_array_foreach (json_object_get(steering, "shares"), i, share)
+		if (!strcmp(text_of(share, "to"), region))
+			return number_of(share, "permille");
+	return 0;
+}
+
+static void show_steering(struct view *view, json_t *steering)
+{
+	char name[96], value[24];
+	json_t *region;
+	size_t i;
+
+	page_html(view->page, "<h2>");
+	page_text(view->page, "%s, callers of %s", text_of(steering, "service"),
+		  text_of(steering, "from"));
+	page_html(view->page, "</h2><p>Shares, in thousandths:</p>");
+	begin_change(view, "shares");
+	page_hidden(view->page, "service", text_of(steering, "service"));
+	page_hidden(view->page, "from", text_of(steering, "from"));
+	json_array_foreach (json_object_get(view->doc, "regions"), i, region) {
+		const char *to = text_of(region, "name");
+
+		g_snprintf(name, sizeof(name), "share:%s", to);
+		g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
+			   share_to(steering, to));
+		page_input(view->page, to, name, "number", value);
+	}
+	g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
+		   number_of(steering, "move_cap_permille"));
+	page_input(view->page, "cap", "cap", "number", value);
+	g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
+		   number_of(steering, "window_ms"));
+	page_input(view->page, "window, ms", "window_ms", "number", value);
+	page_form_end(view->page, "Review");
+}
+
+int forms_steering(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *item;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "Shifts", true))
+		return 200;
+	json_array_foreach (json_object_get(view.doc, "steering"), i, item)
+		show_steering(&view, item);
+	return view_end(&view);
+}
+
+/** A button that lets something leave, or stay. */
+static void leaving_button(struct view *view, const char *change,
+			   const char *name, bool leaving)
+{
+	page_html(view->page, "<td>");
+	begin_change(view, change);
+	page_hidden(view->page, "name", name);
+	page_hidden(view->page, "leaving", leaving ? "no" : "yes");
+	page_form_end(view->page, leaving ? "Let it work again" : "Drain");
+	page_html(view->page, "</td>");
+}
+
+int forms_backends(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *item;
+	bool leaving;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "Backend servers", true))
+		return 200;
+	page_html(view.page, "<table><tr><th>Name</th><th>Service</th><th>"
+			     "Failure domain</th><th>Address</th><th>Slots"
+			     "</th><th>Leaving</th><th></th></tr>");
+	json_array_foreach (json_object_get(view.doc, "backends"), i, item) {
+		leaving = json_is_true(json_object_get(item, "leaving"));
+		page_html(view.page, "<tr>");
+		page_cell(view.page, "%s", text_of(item, "name"));
+		page_cell(view.page, "%s", text_of(item, "service"));
+		page_cell(view.page, "%s", text_of(item, "failure_domain"));
+		page_cell(view.page, "%s", text_of(item, "address"));
+		page_cell(view.page, "%" JSON_INTEGER_FORMAT,
+			  number_of(item, "slots"));
+		page_cell(view.page, "%s", leaving ? "yes" : "no");
+		leaving_button(&view, "backend", text_of(item, "name"),
+			       leaving);
+		page_html(view.page, "</tr>");
+	}
+	page_html(view.page, "</table>");
+	return view_end(&view);
+}
+
+static bool is_listed(json_t *list, const char *name)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (list, i, item)
+		if (!strcmp(json_string_value(item), name))
+			return true;
+	return false;
+}
+
+int forms_entries(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *status, *item, *listed;
+	bool leaving;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "Entry VMs", true))
+		return 200;
+	status = read_status(view.console);
+	listed = json_object_get(view.doc, "leaving_entries");
+	page_html(view.page, "<table><tr><th>Name</th><th>Failure domain</th>"
+			     "<th>State</th><th>Leaving</th><th></th></tr>");
+	json_array_foreach (json_object_get(status, "members"), i, item) {
+		leaving = is_listed(listed, text_of(item, "name"));
+		page_html(view.page, "<tr>");
+		page_cell(view.page, "%s", text_of(item, "name"));
+		page_cell(view.page, "%s", text_of(item, "failure_domain"));
+		page_cell(view.page, "%s", text_of(item, "state"));
+		page_cell(view.page, "%s", leaving ? "yes" : "no");
+		leaving_button(&view, "entry", text_of(item, "name"), leaving);
+		page_html(view.page, "</tr>");
+	}
+	page_html(view.page, "</table>");
+	if (!status)
+		page_html(view.page, "<p class=\"bad\">The entry VM does not "
+				     "answer.</p>");
+	json_decref(status);
+	return view_end(&view);
+}
+
+static void show_service(struct view *view, json_t *service)
+{
+	char name[96], value[24];
+	const char *key;
+	json_t *number;
+
+	page_html(view->page, "<h2>");
+	page_text(view->page, "%s, under %s", text_of(service, "name"),
+		  text_of(service, "path_prefix"));
+	page_html(view->page, "</h2>");
+	begin_change(view, "service");
+	page_hidden(view->page, "name", text_of(service, "name"));
+	json_object_foreach (service, key, number) {
+		if (!json_is_integer(number))
+			continue;
+		g_snprintf(name, sizeof(name), "number:%s", key);
+		g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
+			   json_integer_value(number));
+		page_input(view->page, key, name, "number", value);
+	}
+	page_form_end(view->page, "Review");
+}
+
+int forms_services(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *item;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "Services", true))
+		return 200;
+	json_array_foreach (json_object_get(view.doc, "services"), i, item)
+		show_service(&view, item);
+	return view_end(&view);
+}
+
+int forms_links(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	char value[24];
+	json_t *item;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "Links", true))
+		return 200;
+	json_array_foreach (json_object_get(view.doc, "links"), i, item) {
+		page_html(view.page, "<p>");
+		page_text(view.page, "%s - %s ", text_of(item, "from"),
+			  text_of(item, "to"));
+		begin_change(&view, "link");
+		page_hidden(view.page, "from", text_of(item, "from"));
+		page_hidden(view.page, "to", text_of(item, "to"));
+		g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
+			   number_of(item, "mbit_per_s"));
+		page_input(view.page, "Mbit/s each way", "mbit_per_s",
+			   "number", value);
+		page_form_end(view.page, "Review");
+		page_html(view.page, "</p>");
+	}
+	return view_end(&view);
+}
+
+int forms_history(struct mg_connection *connection, void *context)
+{
+	struct view view;
+	json_t *history, *record;
+	char when[32];
+	time_t at;
+	size_t i;
+
+	if (!view_begin(&view, connection, context, "History", false))
+		return 200;
+	history = publish_history(&view.console->store);
+	if (!history)
+		page_html(view.page, "<p class=\"bad\">The store does not "
+				     "answer.</p>");
+	for (i = json_array_size(history); i > 0; i--) {
+		record = json_array_get(history, i - 1);
+		at = (time_t)(number_of(record, "unix_ms") / MS_PER_S);
+		strftime(when, sizeof(when), "%Y-%m-%d %H:%M:%S UTC",
+			 gmtime(&at));
+		page_html(view.page, "<h2>");
+		page_text(view.page,
+			  "Version %" JSON_INTEGER_FORMAT " by %s, %s",
+			  number_of(record, "version"),
+			  text_of(record, "author"), when);
+		page_html(view.page, "</h2><p>");
+		page_text(view.page, "%s", text_of(record, "comment"));
+		page_html(view.page, "</p>");
+		page_differences(view.page, json_object_get(record, "changes"),
+				 text_of(record, "author"));
+	}
+	json_decref(history);
+	return view_end(&view);
+}
--- /dev/null
+++ b/src/console/main.c
@@ -0,0 +1,239 @@
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/deadline.h"
+#include "base/log.h"
+#include "console/change.h"
+#include "console/console_defs.h"
+#include "console/forms.h"
+#include "console/guard.h"
+#include "console/page.h"
+#include "http/http_server.h"
+#include "store/store_etcd.h"
+
+/**
+ * @file
+ * auburnreach-console: forms whose output is one document.
+ */
+
+#define FORM_BYTES_MAX 65536
+#define STORE_TIMEOUT_MS 3000
+#define PASSWORD_BYTES_MAX 256
+#define THREADS 16
+
+#define EXIT_USAGE 2
+
+const char *form_get(const struct form *form, const char *name)
+{
+	int i;
+
+	for (i = 0; i < form->field_count; i++)
+		if (!strcmp(form->fields[i].name, name))
+			return form->fields[i].value ? form->fields[i].value :
+						       "";
+	return "";
+}
+
+/** Reads a form. @return false once the request has been refused. */
+static bool read_form(struct mg_connection *connection, struct form *form)
+{
+	int64_t bytes;
+
+	memset(form, 0, sizeof(*form));
+	if (strcmp(mg_get_request_info(connection)->request_method, "POST") !=
+	    0) {
+		http_reply_error(connection, 405, "Allow: POST\r\n",
+				 "this page takes forms only",
+				 "begin at the first page");
+		return false;
+	}
+	bytes = http_read_body(connection, FORM_BYTES_MAX, &form->text);
+	if (bytes >= 0)
+		form->field_count = mg_split_form_urlencoded(
+			form->text, form->fields, ARRAY_SIZE(form->fields));
+	if (bytes >= 0 && form->field_count >= 0)
+		return true;
+	http_reply_error(connection, 400, NULL, "the form cannot be read",
+			 "send it from the console's own pages");
+	free(form->text);
+	return false;
+}
+
+typedef void (*form_fn)(struct console *console,
+			struct mg_connection *connection,
+			const char *operator_name, const struct form *form);
+
+static int handle_form(struct mg_connection *connection,
+		       struct console *console, form_fn run)
+{
+	const char *operator_name = guard_operator(console, connection);
+	struct form form;
+
+	if (!operator_name || !read_form(connection, &form))
+		return 200;
+	if (guard_own_form(console, connection, operator_name, &form))
+		run(console, connection, operator_name, &form);
+	else
+		http_reply_error(connection, 403, NULL,
+				 "the form does not come from this console",
+				 "open the page again and send its form");
+	free(form.text);
+	return 200;
+}
+
+static int handle_review(struct mg_connection *connection, void *context)
+{
+	return handle_form(connection, context, change_review);
+}
+
+static int handle_publish(struct mg_connection *connection, void *context)
+{
+	return handle_form(connection, context, change_publish);
+}
+
+static int handle_style(struct mg_connection *connection, void *context)
+{
+	(void)context;
+	http_reply(connection, 200, "text/css", "Cache-Control: no-store\r\n",
+		   page_style, (uint32_t)strlen(page_style));
+	return 200;
+}
+
+static void register_pages(struct console *console, struct mg_context *server)
+{
+	mg_set_request_handler(server, "/style.css$", handle_style, console);
+	mg_set_request_handler(server, "/steering$", forms_steering, console);
+	mg_set_request_handler(server, "/backends$", forms_backends, console);
+	mg_set_request_handler(server, "/entries$", forms_entries, console);
+	mg_set_request_handler(server, "/services$", forms_services, console);
+	mg_set_request_handler(server, "/links$", forms_links, console);
+	mg_set_request_handler(server, "/history$", forms_history, console);
+	mg_set_request_handler(server, "/review$", handle_review, console);
+	mg_set_request_handler(server, "/publish$", handle_publish, console);
+	mg_set_request_handler(server, "/", forms_fleet, console);
+}
+
+static int serve(struct console *console, const sigset_t *signals)
+{
+	const struct console_settings *settings = &console->settings;
+	struct store_etcd *etcd =
+		store_etcd_new(settings->store, STORE_TIMEOUT_MS);
+	struct http_server_options options = {
+		.address = settings->listen,
+		.threads = THREADS,
+		.keep_alive_ms = 2000,
+		.request_timeout_ms = 10000,
+		.connections_max = 64,
+		.certificate = settings->certificate[0] ?
+				       settings->certificate :
+				       NULL,
+	};
+	struct mg_context *server;
+	int signal_number;
+
+	if (!etcd)
+		return EXIT_FAILURE;
+	console->store = store_etcd_store(etcd);
+	console->secret = g_uuid_string_random();
+	server = http_server_start(&options);
+	if (server) {
+		register_pages(console, server);
+		log_info("console", "started address=%s tls=%s",
+			 settings->listen, options.certificate ? "yes" : "no");
+		sigwait(signals, &signal_number);
+		mg_stop(server);
+	}
+	g_free(console->secret);
+	store_etcd_free(etcd);
+	return server ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static int run(const char *file_name)
+{
+	struct shape_errors errors = shape_errors_new();
+	struct console console = { 0 };
+	int code = EXIT_USAGE;
+	sigset_t signals;
+
+	if (!shape_read_file(&console_settings_shape, file_name,
+			     &console.settings, &errors)) {
+		fprintf(stderr, CONSOLE_PROGRAM ": settings are not usable:\n%s",
+			errors.text->str);
+		goto out;
+	}
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	mg_init_library(MG_FEATURES_TLS);
+	code = EXIT_FAILURE;
+	if (!log_open(LOG_LEVEL_INFO) && !deadline_start()) {
+		code = serve(&console, &signals);
+		deadline_stop();
+		log_close();
+	}
+out:
+	shape_clear(&console_settings_shape, &console.settings);
+	shape_errors_clear(&errors);
+	return code;
+}
+
+/** Reads a password from standard input and prints its hash. */
+static int print_hash(void)
+{
+	char password[PASSWORD_BYTES_MAX];
+	char *hash;
+
+	if (!fgets(password, sizeof(password), stdin))
+		return EXIT_FAILURE;
+	password[strcspn(password, "\r\n")] = '\0';
+	hash = guard_hash(password);
+	if (!hash)
+		return EXIT_FAILURE;
+	printf("%s\n", hash);
+	g_free(hash);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file0("c", "config", "FILE", "settings, in JSON");
+	struct arg_lit *hash = arg_lit0(
+		NULL, "hash", "hash the password on standard input and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *version =
+		arg_lit0("V", "version", "print the version and exit");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { file, hash, help, version, end };
+	int errors = arg_parse(argc, argv, table);
+	int code = EXIT_USAGE;
+
+	if (help->count) {
+		printf("Usage: " CONSOLE_PROGRAM);
+		arg_print_syntax(stdout, table, "\n");
+		printf("Serves the operators' forms.\n\n");
+		arg_print_glossary(stdout, table, "  %-22s %s\n");
+		printf("\nExit codes: 0 stopped as planned, 1 failed, "
+		       "2 wrong use or settings.\n");
+		code = EXIT_SUCCESS;
+	} else if (version->count) {
+		printf(CONSOLE_PROGRAM " " ABR_VERSION "\n");
+		code = EXIT_SUCCESS;
+	} else if (errors) {
+		arg_print_errors(stderr, end, CONSOLE_PROGRAM);
+	} else if (hash->count) {
+		code = print_hash();
+	} else if (!file->count) {
+		fprintf(stderr,
+			CONSOLE_PROGRAM ": no settings; add --config FILE\n");
+	} else {
+		code = run(file->filename[0]);
+	}
+	arg_freetable(table, ARRAY_SIZE(table));
+	return code;
+}
--- /dev/null
+++ b/src/console/page.c
@@ -0,0 +1,188 @@
+#include "console/page.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/http_server.h"
+
+#define SECURITY_HEADERS                                                       \
+	"Cache-Control: no-store\r\n"                                          \
+	"Content-Security-Policy: default-src 'none'; style-src 'self'; "      \
+	"form-action 'self'; base-uri 'none'; frame-ancestors 'none'\r\n"      \
+	"Referrer-Policy: same-origin\r\n"                                     \
+	"X-Content-Type-Options: nosniff\r\n"
+
+/* Longer values are cut: a first publication holds whole lists. */
+#define VALUE_BYTES_SHOWN 300
+
+const char page_style[] =
+	"body{font:16px/1.5 system-ui,sans-serif;max-width:64rem;margin:0 auto;"
+	"padding:1rem;color:#1c2733;background:#fbfbf9}"
+	"nav a{margin-right:1rem}a{color:#0b5c8a}"
+	"header{border-bottom:2px solid #0b5c8a;margin-bottom:1rem}"
+	"h1{font-size:1.4rem}h2{font-size:1.1rem;margin-top:1.5rem}"
+	"table{border-collapse:collapse;width:100%;margin:.5rem 0}"
+	"th,td{text-align:left;padding:.3rem .6rem;border-bottom:1px solid "
+	"#d8dcdf;vertical-align:top;overflow-wrap:anywhere}"
+	"th{background:#eef2f4}label{display:inline-block;margin:.2rem .8rem "
+	".2rem 0}input{font:inherit;padding:.15rem .3rem;max-width:8rem}"
+	"input[type=text]{max-width:24rem}"
+	"button{font:inherit;padding:.25rem .8rem;border:1px solid #0b5c8a;"
+	"background:#0b5c8a;color:#fff;border-radius:.2rem}"
+	".differences{table-layout:fixed}.differences th:last-child{width:6rem}"
+	"form.inline{display:inline}"
+	".bad{border-left:.3rem solid #b3261e;padding:.3rem .8rem;background:"
+	"#fbeceb;white-space:pre-wrap}"
+	".good{border-left:.3rem solid #2a7a3b;padding:.3rem .8rem;background:"
+	"#ebf5ed}";
+
+static const struct {
+	const char *path;
+	const char *name;
+} links[] = {
+	{ "/", "Fleet" },	    { "/steering", "Shifts" },
+	{ "/backends", "Backend servers" }, { "/entries", "Entry VMs" },
+	{ "/services", "Services" },	    { "/links", "Links" },
+	{ "/history", "History" },
+};
+
+void page_html(GString *page, const char *html)
+{
+	g_string_append(page, html);
+}
+
+static void append_escaped(GString *page, const char *format, va_list args)
+{
+	char *text = g_strdup_vprintf(format, args);
+	char *escaped = g_markup_escape_text(text, -1);
+
+	g_string_append(page, escaped);
+	g_free(escaped);
+	g_free(text);
+}
+
+void page_text(GString *page, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	append_escaped(page, format, args);
+	va_end(args);
+}
+
+void page_cell(GString *page, const char *format, ...)
+{
+	va_list args;
+
+	page_html(page, "<td>");
+	va_start(args, format);
+	append_escaped(page, format, args);
+	va_end(args);
+	page_html(page, "</td>");
+}
+
+GString *page_begin(const char *title, const char *operator_name)
+{
+	GString *page = g_string_new("<!DOCTYPE html><html lang=\"en\"><head>"
+				     "<meta charset=\"utf-8\"><meta "
+				     "name=\"viewport\" content=\"width="
+				     "device-width\"><title>");
+	size_t i;
+
+	page_text(page, "%s", title);
+	page_html(page, " - auburnreach</title><link rel=\"stylesheet\" "
+			"href=\"/style.css\"></head><body><header><h1>");
+	page_text(page, "%s", title);
+	page_html(page, "</h1><nav>");
+	for (i = 0; i < ARRAY_SIZE(links); i++)
+		g_string_append_printf(page, "<a href=\"%s\">%s</a>",
+				       links[i].path, links[i].name);
+	page_text(page, "operator: %s", operator_name);
+	page_html(page, "</nav></header><main>");
+	return page;
+}
+
+void page_send(struct mg_connection *connection, uint32_t status, GString *page)
+{
+	page_html(page, "</main></body></html>\n");
+	http_reply(connection, status, "text/html; charset=utf-8",
+		   SECURITY_HEADERS, page->str, (uint32_t)page->len);
+	g_string_free(page, TRUE);
+}
+
+static void append_attribute(GString *page, const char *name, const char *value)
+{
+	g_string_append_printf(page, " %s=\"", name);
+	page_text(page, "%s", value);
+	g_string_append_c(page, '"');
+}
+
+void page_hidden(GString *page, const char *name, const char *value)
+{
+	page_html(page, "<input type=\"hidden\"");
+	append_attribute(page, "name", name);
+	append_attribute(page, "value", value);
+	page_html(page, ">");
+}
+
+void page_form_begin(GString *page, const char *action, const char *token)
+{
+	g_string_append_printf(page,
+			       "<form class=\"inline\" method=\"post\" "
+			       "action=\"%s\">",
+			       action);
+	page_hidden(page, "token", token);
+}
+
+void page_form_end(GString *page, const char *button)
+{
+	page_html(page, "<button>");
+	page_text(page, "%s", button);
+	page_html(page, "</button></form>");
+}
+
+void page_input(GString *page, const char *label, const char *name,
+		const char *type, const char *value)
+{
+	page_html(page, "<label>");
+	page_text(page, "%s ", label);
+	page_html(page, "<input");
+	append_attribute(page, "type", type);
+	append_attribute(page, "name", name);
+	append_attribute(page, "value", value);
+	page_html(page, "></label>");
+}
+
+/** Appends a cell with a value, cut where it is long. */
+static void append_value(GString *page, json_t *value)
+{
+	char *text = json_is_null(value) ?
+			     NULL :
+			     json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+	page_cell(page, "%.*s%s", VALUE_BYTES_SHOWN, text ? text : "(absent)",
+		  text && strlen(text) > VALUE_BYTES_SHOWN ? " ..." : "");
+	free(text);
+}
+
+void page_differences(GString *page, json_t *differences, const char *author)
+{
+	const char *own;
+	json_t *item;
+	size_t i;
+
+	page_html(page, "<table class=\"differences\"><tr><th>Field</th><th>"
+			"Before</th><th>After</th><th>Who</th></tr>");
+	json_array_foreach (differences, i, item) {
+		own = json_string_value(json_object_get(item, "author"));
+		page_html(page, "<tr>");
+		page_cell(page, "%s",
+			  json_string_value(json_object_get(item, "path")));
+		append_value(page, json_object_get(item, "old"));
+		append_value(page, json_object_get(item, "new"));
+		page_cell(page, "%s", own ? own : author);
+		page_html(page, "</tr>");
+	}
+	page_html(page, "</table>");
+}
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -30,6 +30,7 @@
 
 struct steering_table;
 struct explain;
+struct offer_cache;
 struct claims;
 struct watch;
 struct probe;
@@ -44,6 +45,8 @@
 				 struct http_pool *pool,
 				 const struct http_request *request,
 				 uint32_t fresh_ms, struct http_answer *answer);
+	/** @return whether the address accepts connections. */
+	bool (*reaches)(void *context, const char *address);
 	void *context;
 };
 
@@ -83,6 +86,7 @@
 	struct entry_transport transport;
 	struct store store;
 	struct explain *explain;
+	struct offer_cache *offers;
 	struct claims *claims;
 	struct watch *watch;
 	struct probe *probe;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -101,12 +101,19 @@
 	return attempt;
 }
 
+/**
+ * A broken answer alone proves no crash: the server died with the request if
+ * it takes no connection right afterwards.
+ */
 static void note_broken(struct entry *entry, const struct exchange *exchange,
 			const struct backend *backend)
 {
 	int64_t now_ms = clock_now_ms(&entry->clock);
 	bool refused;
 
+	if (entry->transport.reaches(entry->transport.context,
+				     http_pool_address(backend->pool)))
+		return;
 	pthread_mutex_lock(&entry->state_lock);
 	refused = quarantine_note(&entry->quarantine, exchange->fingerprint,
 				  backend->name_hash, now_ms);
--- a/src/entry/lookup.c
+++ b/src/entry/lookup.c
@@ -8,7 +8,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
-#include "decide/rank.h"
+#include "entry/offer.h"
 #include "entry/steering.h"
 #include "http/http_server.h"
 
@@ -24,7 +24,8 @@
 	struct entry *entry;
 	const struct document *doc;
 	const struct doc_service *service;
-	struct peer_view *view;
+	const struct offer *offer;
+	const struct peer_view *view;
 	char block[BLOCK_BYTES];
 	const char *from;
 	int region;
@@ -51,73 +52,30 @@
 	}
 }
 
-static bool is_offered(const struct document *doc, const struct member *member)
-{
-	return member->state == MEMBER_LIVE &&
-	       !(member->flags & MEMBER_LEAVING) &&
-	       !document_entry_leaving(doc, member->name);
-}
-
-/** Regions that have a backend server and an entry VM for the service. */
+/** Regions that can serve the service now, as bits. */
 static uint64_t usable_regions(const struct lookup *lookup)
 {
-	const struct document *doc = lookup->doc;
-	uint64_t with_entry = 0;
-	uint64_t with_server = 0;
+	const struct offer *offer = lookup->offer;
+	uint64_t usable =
+		offer->with_entry &
+		offer->with_server[lookup->service - lookup->doc->services];
 	struct backends_load load;
-	int region;
-	int own;
-	uint32_t i;
 
-	for (i = 0; i < lookup->view->member_count; i++) {
-		const struct member *member = &lookup->view->members[i];
-
-		region = document_region_of_domain(doc, member->failure_domain);
-		if (region >= 0 && is_offered(doc, member))
-			with_entry |= 1ULL << region;
-	}
-	for (i = 0; i < doc->backend_count; i++) {
-		const struct doc_backend *backend = &doc->backends[i];
-
-		if (backend->leaving ||
-		    strcmp(backend->service, lookup->service->name))
-			continue;
-		region = document_region_of_domain(doc, backend->failure_domain);
-		with_server |= 1ULL << region;
-	}
-	own = document_region_of_domain(doc,
-					lookup->entry->settings.failure_domain);
 	backends_load(lookup->entry->backends, lookup->service->name, &load);
-	if (own >= 0 && !load.usable_slots)
-		with_server &= ~(1ULL << own);
-	return with_entry & with_server;
+	if (offer->own_region >= 0 && !load.usable_slots)
+		usable &= ~(1ULL << offer->own_region);
+	return usable;
 }
 
 static void choose_entries(struct lookup *lookup)
 {
-	struct rank_candidate *candidates =
-		calloc(lookup->view->member_count + 1, sizeof(*candidates));
-	uint32_t count = 0;
-	uint32_t i;
+	const struct offer_region *region =
+		&lookup->offer->regions[lookup->region];
 
-	for (i = 0; candidates && i < lookup->view->member_count; i++) {
-		const struct member *member = &lookup->view->members[i];
-
-		if (!is_offered(lookup->doc, member) ||
-		    document_region_of_domain(lookup->doc,
-					      member->failure_domain) !=
-			    lookup->region)
-			continue;
-		candidates[count].name_hash = member->name_hash;
-		candidates[count].failure_domain =
-			(uint32_t)rank_hash(member->failure_domain);
-		candidates[count].index = i;
-		count++;
-	}
 	lookup->chosen_count =
-		rank_choose(candidates, count, rank_hash(lookup->block),
-			    lookup->chosen, ENTRIES_ANSWERED);
-	free(candidates);
+		rank_choose(region->candidates, region->candidate_count,
+			    rank_hash(lookup->block), lookup->chosen,
+			    ENTRIES_ANSWERED);
 }
 
 static json_t *home_json(const struct member *home)
@@ -236,18 +194,18 @@
 int lookup_handle(struct mg_connection *connection, void *context)
 {
 	struct lookup lookup = { .entry = context };
-	struct current_document *held = current_get(lookup.entry->current);
+	struct offer *offer = offer_get(lookup.entry);
 
-	if (!held) {
+	if (!offer) {
 		refuse(connection, 503, "no document is in force yet",
 		       "publish one, or wait until this VM has heard of it");
 		return 503;
 	}
-	lookup.doc = held->doc;
-	lookup.view = peer_view_get(lookup.entry->peer);
+	lookup.offer = offer;
+	lookup.doc = offer->held->doc;
+	lookup.view = offer->view;
 	if (read_query(connection, &lookup))
 		answer(connection, &lookup);
-	peer_view_release(lookup.view);
-	current_release(held);
+	offer_release(offer);
 	return 200;
 }
--- a/src/entry/outside.c
+++ b/src/entry/outside.c
@@ -3,6 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* longest time for a connection that shows that a server lives */
+#define REACH_MS 200
+
 static enum http_result send(void *context, const char *address,
 			     struct http_pool *pool,
 			     const struct http_request *request,
@@ -21,6 +24,17 @@
 	return result;
 }
 
+static bool reaches(void *context, const char *address)
+{
+	struct http_connection *connection =
+		http_connect(address,
+			     clock_now_ns(&clock_system) + REACH_MS * NS_PER_MS);
+
+	(void)context;
+	http_close(connection);
+	return connection;
+}
+
 static bool find(void *context, const char *name, uint64_t incarnation,
 		 char *address)
 {
@@ -66,7 +80,7 @@
 
 void outside_connect(struct entry *entry)
 {
-	entry->transport = (struct entry_transport){ send, entry };
+	entry->transport = (struct entry_transport){ send, reaches, entry };
 	entry->fleet = (struct entry_fleet){
 		.find = find,
 		.tell_leaving = tell_leaving,
--- a/src/entry/state.c
+++ b/src/entry/state.c
@@ -1,6 +1,7 @@
 #include "entry/state.h"
 
 #include "entry/explain.h"
+#include "entry/offer.h"
 #include "entry/serve.h"
 #include "entry/steering.h"
 
@@ -34,15 +35,17 @@
 	entry->backends =
 		backends_new(entry->settings.failure_domain, &entry->clock);
 	entry->explain = explain_new();
+	entry->offers = offer_cache_new();
 	entry->orders = orders_new(entry->settings.orders_max,
 				   entry->settings.order_answer_bytes_max);
 	return entry->current && entry->backends && entry->explain &&
-	       entry->orders;
+	       entry->offers && entry->orders;
 }
 
 void state_clear(struct entry *entry)
 {
 	orders_free(entry->orders);
+	offer_cache_free(entry->offers);
 	explain_free(entry->explain);
 	backends_free(entry->backends);
 	current_free(entry->current);
--- a/src/peer/gossip.c
+++ b/src/peer/gossip.c
@@ -256,6 +256,26 @@
 	heartbeat_clear(&heartbeat);
 }
 
+/** The failure domain of an address that a member is known to have, or "". */
+static const char *domain_of(const struct peer *peer, const char *address)
+{
+	const struct member *member;
+	uint32_t i, k;
+
+	for (i = 0; i < member_count(peer->table); i++) {
+		member = member_at(peer->table, i);
+		if (!strcmp(member->peer_address, address))
+			return member->failure_domain;
+	}
+	for (i = 0; i < peer->domains.count; i++)
+		for (k = 0; k < peer->domains.domains[i]->member_count; k++) {
+			member = &peer->domains.domains[i]->members[k];
+			if (!strcmp(member->peer_address, address))
+				return member->failure_domain;
+		}
+	return "";
+}
+
 /** Speaks to one seed, so that parts that lost each other meet again. */
 static void send_to_seed(struct peer *peer)
 {
@@ -271,7 +291,8 @@
 	heartbeat_init(&heartbeat, peer);
 	add_entries(&heartbeat, peer);
 	add_digests(&heartbeat, peer);
-	peer_message_send(peer, &heartbeat.envelope, address, "");
+	peer_message_send(peer, &heartbeat.envelope, address,
+			  domain_of(peer, address));
 	heartbeat_clear(&heartbeat);
 }
 
--- a/test/scenario/fake_store.c
+++ b/test/scenario/fake_store.c
@@ -76,8 +76,7 @@
 	return STORE_OK;
 }
 
-static enum store_result fake_commit(void *context,
-				     const struct store_put *puts,
+static enum store_result fake_commit(void *context, const struct store_put *puts,
 				     uint32_t put_count)
 {
 	struct world_entry *entry = context;
@@ -91,14 +90,14 @@
 		result = STORE_UNKNOWN;
 	else if (is_reached(entry))
 		result = write_all(world, puts, put_count);
-	if (world->store_mode == STORE_LOSES_ANSWERS && result != STORE_UNREACHABLE)
+	if (world->store_mode == STORE_LOSES_ANSWERS &&
+	    result != STORE_UNREACHABLE)
 		result = STORE_UNKNOWN;
 	pthread_mutex_unlock(&world->lock);
 	return result;
 }
 
-static enum store_result fake_lease(void *context, uint32_t ttl_s,
-				    uint64_t *lease)
+static enum store_result fake_lease(void *context, uint32_t ttl_s, uint64_t *lease)
 {
 	struct world_entry *entry = context;
 	bool reached;
--- a/test/scenario/main.c
+++ b/test/scenario/main.c
@@ -38,8 +38,8 @@
 					     (const char *)item->data);
 
 		g_test_add_data_func_full(
-			path, g_strdup_printf(FOLDER "/%s",
-					      (const char *)item->data),
+			path,
+			g_strdup_printf(FOLDER "/%s", (const char *)item->data),
 			run_file, g_free);
 		g_free(path);
 	}
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -269,8 +269,7 @@
 	world_issue_key(started->order, started->at);
 	if (started->order->thread)
 		fail(line, "the order has a request in progress already");
-	started->order->thread =
-		g_thread_new("order", run_started, started);
+	started->order->thread = g_thread_new("order", run_started, started);
 }
 
 static void await_order(struct line *line)
@@ -331,8 +330,7 @@
 {
 	if (order_of(line, 0)->runs != (uint32_t)atoi(line->stars[1]))
 		g_error("%s:%d: order %s ran %u times", line->file_name,
-			line->number, line->stars[0],
-			order_of(line, 0)->runs);
+			line->number, line->stars[0], order_of(line, 0)->runs);
 }
 
 static void expect_at_most_once(struct line *line)
@@ -347,8 +345,7 @@
 
 	if (!attempts->len)
 		fail(line, "the order was not attempted");
-	return &g_array_index(attempts, struct world_attempt,
-			      attempts->len - 1);
+	return &g_array_index(attempts, struct world_attempt, attempts->len - 1);
 }
 
 static void expect_told(struct line *line)
@@ -378,8 +375,7 @@
 
 static void expect_read_told(struct line *line)
 {
-	if (strcmp(verdict_text(line->world->read_verdict), line->stars[0]) !=
-	    0)
+	if (strcmp(verdict_text(line->world->read_verdict), line->stars[0]) != 0)
 		fail(line, "the request was told otherwise");
 }
 
--- a/test/scenario/world.c
+++ b/test/scenario/world.c
@@ -107,8 +107,7 @@
 	}
 	order = g_new0(struct world_order, 1);
 	g_strlcpy(order->label, label, sizeof(order->label));
-	order->attempts =
-		g_array_new(FALSE, TRUE, sizeof(struct world_attempt));
+	order->attempts = g_array_new(FALSE, TRUE, sizeof(struct world_attempt));
 	g_ptr_array_add(world->orders, order);
 	return order;
 }
@@ -209,8 +208,8 @@
 			     const struct http_request *request)
 {
 	char *text = header_in(request->headers, HEADER_DEADLINE);
-	bool past = text && world->manual.unix_ms >=
-				    g_ascii_strtoll(text, NULL, 10);
+	bool past = text &&
+		    world->manual.unix_ms >= g_ascii_strtoll(text, NULL, 10);
 
 	g_free(text);
 	return past;
@@ -270,8 +269,7 @@
 			 const char *key, const char *body, int64_t deadline_ns)
 {
 	struct current_document *held = current_get(at->entry.current);
-	int64_t left_ms =
-		(deadline_ns - at->world->manual.now_ns) / NS_PER_MS;
+	int64_t left_ms = (deadline_ns - at->world->manual.now_ns) / NS_PER_MS;
 
 	memset(exchange, 0, sizeof(*exchange));
 	exchange->doc = held->doc;
@@ -281,15 +279,15 @@
 	exchange->body = strdup(body);
 	exchange->body_bytes = (uint32_t)strlen(body);
 	exchange->deadline_ns = deadline_ns;
-	exchange->fingerprint =
-		order_digest("POST", PATH, body, strlen(body));
+	exchange->fingerprint = order_digest("POST", PATH, body, strlen(body));
 	snprintf(exchange->request_id, sizeof(exchange->request_id), "%s-%u",
 		 at->name, g_random_int());
-	exchange->headers = g_strdup_printf(
-		HEADER_REQUEST_ID ": %s\r\n" HEADER_DEADLINE ": %" PRId64
-				  "\r\n" HEADER_KEY ": %s\r\n",
-		exchange->request_id, at->world->manual.unix_ms + left_ms,
-		key ? key : "");
+	exchange->headers = g_strdup_printf(HEADER_REQUEST_ID
+					    ": %s\r\n" HEADER_DEADLINE ": %" PRId64
+					    "\r\n" HEADER_KEY ": %s\r\n",
+					    exchange->request_id,
+					    at->world->manual.unix_ms + left_ms,
+					    key ? key : "");
 	current_release(held);
 }
 
@@ -343,8 +341,8 @@
 		exchange.passed = true;
 		order_run(&to->entry, &exchange, key);
 		make_answer(answer,
-			    exchange.answer.status ? exchange.answer.status :
-						     exchange.status,
+			    exchange.answer.status ? exchange.answer.status
+						   : exchange.status,
 			    exchange.verdict, exchange.request_id);
 		forward_clear(&exchange);
 		if (to->dead) {
@@ -380,6 +378,14 @@
 	return result;
 }
 
+static bool fake_reaches(void *context, const char *address)
+{
+	struct world *world = ((struct world_entry *)context)->world;
+	struct world_server *server = server_at(world, address);
+
+	return server && server->mode != SERVER_UNREACHABLE;
+}
+
 static bool fake_find(void *context, const char *name, uint64_t incarnation,
 		      char *address)
 {
@@ -434,8 +440,7 @@
 	struct entry *entry = &at->entry;
 
 	entry->clock = at->world->clock;
-	entry->incarnation =
-		(uint64_t)at->world->manual.unix_ms + at->restarts;
+	entry->incarnation = (uint64_t)at->world->manual.unix_ms + at->restarts;
 	entry->settings.name = g_strdup(at->name);
 	entry->settings.failure_domain = g_strdup(at->failure_domain);
 	entry->settings.orders_max = 1000;
@@ -443,7 +448,8 @@
 	entry->settings.threads = 100;
 	g_assert_true(state_init(entry));
 	entry->store = world_store(at);
-	entry->transport = (struct entry_transport){ fake_send, at };
+	entry->transport =
+		(struct entry_transport){ fake_send, fake_reaches, at };
 	entry->fleet = (struct entry_fleet){
 		.find = fake_find,
 		.tell_leaving = fake_tell_leaving,
@@ -574,13 +580,12 @@
 	if (at->dead) /* the caller saw its connection break */
 		exchange.verdict = VERDICT_MAY_HAVE_RUN;
 	add_attempt(world, order, exchange.verdict,
-		    exchange.answer.status ? exchange.answer.status :
-					     exchange.status);
+		    exchange.answer.status ? exchange.answer.status
+					   : exchange.status);
 	forward_clear(&exchange);
 }
 
-void world_run_read(struct world *world, struct world_entry *at,
-		    const char *path)
+void world_run_read(struct world *world, struct world_entry *at, const char *path)
 {
 	struct exchange exchange;
 
@@ -659,8 +664,8 @@
 	guint i;
 
 	for (i = 0; i < order->attempts->len; i++) {
-		const struct world_attempt *attempt = &g_array_index(
-			order->attempts, struct world_attempt, i);
+		const struct world_attempt *attempt =
+			&g_array_index(order->attempts, struct world_attempt, i);
 
 		ran = ran || attempt->verdict == VERDICT_RAN;
 		may_have_run = may_have_run ||
--- a/test/scenario/world.h
+++ b/test/scenario/world.h
@@ -29,7 +29,7 @@
 	SERVER_TIMES_OUT,     /* runs, and never answers */
 	SERVER_REFUSES,	      /* proves that it did not run */
 	SERVER_UNREACHABLE,
-	SERVER_CRASHES,	      /* runs, breaks, and is gone */
+	SERVER_CRASHES,	       /* runs, breaks, and is gone */
 	SERVER_ANSWERS_OTHERS, /* runs, answers with another request's id */
 	SERVER_HOLDS_REQUESTS, /* waits before it runs */
 	SERVER_HOLDS_ANSWERS,  /* runs, waits before it answers */
@@ -90,7 +90,7 @@
 	uint32_t entry_count;
 	struct world_server servers[WORLD_NAMES_MAX];
 	uint32_t server_count;
-	GPtrArray *orders; /* struct world_order */
+	GPtrArray *orders;  /* struct world_order */
 	GPtrArray *retired; /* entries that died; freed at the end */
 	GPtrArray *late;    /* threads of requests that a pause delayed */
 	enum store_mode store_mode;
