refactor(test): part the scenarios' world and language into smaller modules

Solution: what leaves an entry VM, and what a scenario expects, are modules of their own. The ports command no longer writes a failed socket to its list.

--- a/bench/ports.c
+++ b/bench/ports.c
@@ -37,7 +37,8 @@
 	int wanted = argc > 1 ? atoi(argv[1]) : 1;
 	int port = g_random_int_range(PORT_FIRST, PORT_LAST);
 	int fds[PORTS_MAX];
-	int tries, held = 0;
+	int tries, fd;
+	int held = 0;
 
 	if (wanted < 1 || wanted > PORTS_MAX) {
 		fprintf(stderr, BENCH_PROGRAM " ports: 1 to %d\n", PORTS_MAX);
@@ -46,14 +47,13 @@
 	for (tries = PORT_FIRST; tries < PORT_LAST && held < wanted; tries++) {
 		if (++port == PORT_LAST)
 			port = PORT_FIRST;
-		fds[held] = bind_port((uint16_t)port);
-		if (fds[held] < 0)
+		fd = bind_port((uint16_t)port);
+		if (fd < 0)
 			continue;
 		printf("%d\n", port);
-		held++;
+		fds[held++] = fd;
 	}
-	wanted -= held;
-	while (held)
-		close(fds[--held]);
-	return wanted ? 1 : 0;
+	for (tries = 0; tries < held; tries++)
+		close(fds[tries]);
+	return held == wanted ? 0 : 1;
 }
--- a/src/console/change.c
+++ b/src/console/change.c
@@ -42,10 +42,11 @@
 	problem = edit_shares(doc, form_get(form, "service"),
 			      form_get(form, "from"), shares);
 	if (!problem && *form_get(form, "cap"))
-		problem = edit_cap(
-			doc, form_get(form, "service"), form_get(form, "from"),
-			(uint32_t)number_of(form_get(form, "cap")),
-			(uint32_t)number_of(form_get(form, "window_ms")));
+		problem = edit_cap(doc, form_get(form, "service"),
+				   form_get(form, "from"),
+				   (uint32_t)number_of(form_get(form, "cap")),
+				   (uint32_t)number_of(
+					   form_get(form, "window_ms")));
 	json_decref(shares);
 	return problem;
 }
@@ -59,10 +60,10 @@
 		const struct mg_header *field = &form->fields[i];
 
 		if (g_str_has_prefix(field->name, NUMBER_PREFIX))
-			problem = edit_service(
-				doc, form_get(form, "name"),
-				field->name + strlen(NUMBER_PREFIX),
-				number_of(field->value));
+			problem =
+				edit_service(doc, form_get(form, "name"),
+					     field->name + strlen(NUMBER_PREFIX),
+					     number_of(field->value));
 	}
 	return problem;
 }
@@ -73,17 +74,16 @@
 	bool leaving = !strcmp(form_get(form, "leaving"), "yes");
 
 	if (!strcmp(change, "backend"))
-		return edit_backend_leaving(doc, form_get(form, "name"),
-					    leaving);
+		return edit_backend_leaving(doc, form_get(form, "name"), leaving);
 	if (!strcmp(change, "entry"))
-		return edit_entry_leaving(doc, form_get(form, "name"),
-					  leaving);
+		return edit_entry_leaving(doc, form_get(form, "name"), leaving);
 	if (!strcmp(change, "shares"))
 		return apply_shares(doc, form);
 	if (!strcmp(change, "link"))
-		return edit_link(
-			doc, form_get(form, "from"), form_get(form, "to"),
-			(uint32_t)number_of(form_get(form, "mbit_per_s")));
+		return edit_link(doc, form_get(form, "from"),
+				 form_get(form, "to"),
+				 (uint32_t)number_of(
+					 form_get(form, "mbit_per_s")));
 	if (!strcmp(change, "service"))
 		return apply_service(doc, form);
 	return "the form names no change that the console knows";
@@ -102,11 +102,11 @@
 	page = page_begin("No document", operator_name);
 	page_html(page, "<p class=\"bad\">");
 	page_text(page, "%s",
-		  result == STORE_OK ?
-			  "The store holds no document yet. Publish a first "
-			  "one with auburnreachctl publish." :
-			  "The store does not answer. What is in force stays "
-			  "in force; try again later.");
+		  result == STORE_OK
+			  ? "The store holds no document yet. Publish a first "
+			    "one with auburnreachctl publish."
+			  : "The store does not answer. What is in force stays "
+			    "in force; try again later.");
 	page_html(page, "</p>");
 	page_send(connection, 503, page);
 	return NULL;
@@ -230,8 +230,8 @@
 				    "published. Look at the history before "
 				    "you publish again.",
 	};
-	GString *page = page_begin(result == PUBLISH_DONE ? "Published" :
-							    "Not published",
+	GString *page = page_begin(result == PUBLISH_DONE ? "Published"
+							  : "Not published",
 				   operator_name);
 
 	if (result == PUBLISH_DONE) {
@@ -248,8 +248,7 @@
 	page_send(connection, result == PUBLISH_DONE ? 200 : 409, page);
 }
 
-static void publish_on(struct console *console,
-		       struct mg_connection *connection,
+static void publish_on(struct console *console, struct mg_connection *connection,
 		       const char *operator_name, const struct form *form,
 		       json_t *held)
 {
--- a/src/console/forms.c
+++ b/src/console/forms.c
@@ -46,8 +46,7 @@
 	if (!view->operator_name)
 		return false;
 	if (needs_doc) {
-		view->doc = change_read(context, connection,
-					view->operator_name);
+		view->doc = change_read(context, connection, view->operator_name);
 		if (!view->doc)
 			return false;
 	}
@@ -106,8 +105,8 @@
 		if (number_of(item, "version") >= version)
 			in_force += number_of(item, "count");
 	}
-	page_html(view->page, in_force == all && all ? "<p class=\"good\">" :
-						       "<p class=\"bad\">");
+	page_html(view->page, in_force == all && all ? "<p class=\"good\">"
+						     : "<p class=\"bad\">");
 	page_text(view->page,
 		  "Version %" JSON_INTEGER_FORMAT
 		  " is in force on %" JSON_INTEGER_FORMAT
@@ -129,9 +128,9 @@
 		page_cell(view->page, "%s", text_of(item, "name"));
 		page_cell(view->page, "%s", text_of(item, "failure_domain"));
 		page_cell(view->page, "%s%s", text_of(item, "state"),
-			  json_is_true(json_object_get(item, "leaving")) ?
-				  ", leaving" :
-				  "");
+			  json_is_true(json_object_get(item, "leaving"))
+				  ? ", leaving"
+				  : "");
 		page_cell(view->page, "%s", text_of(item, "address"));
 		page_html(view->page, "</tr>");
 	}
@@ -250,8 +249,7 @@
 		page_cell(view.page, "%" JSON_INTEGER_FORMAT,
 			  number_of(item, "slots"));
 		page_cell(view.page, "%s", leaving ? "yes" : "no");
-		leaving_button(&view, "backend", text_of(item, "name"),
-			       leaving);
+		leaving_button(&view, "backend", text_of(item, "name"), leaving);
 		page_html(view.page, "</tr>");
 	}
 	page_html(view.page, "</table>");
@@ -354,8 +352,8 @@
 		page_hidden(view.page, "to", text_of(item, "to"));
 		g_snprintf(value, sizeof(value), "%" JSON_INTEGER_FORMAT,
 			   number_of(item, "mbit_per_s"));
-		page_input(view.page, "Mbit/s each way", "mbit_per_s",
-			   "number", value);
+		page_input(view.page, "Mbit/s each way", "mbit_per_s", "number",
+			   value);
 		page_form_end(view.page, "Review");
 		page_html(view.page, "</p>");
 	}
@@ -382,8 +380,7 @@
 		strftime(when, sizeof(when), "%Y-%m-%d %H:%M:%S UTC",
 			 gmtime(&at));
 		page_html(view.page, "<h2>");
-		page_text(view.page,
-			  "Version %" JSON_INTEGER_FORMAT " by %s, %s",
+		page_text(view.page, "Version %" JSON_INTEGER_FORMAT " by %s, %s",
 			  number_of(record, "version"),
 			  text_of(record, "author"), when);
 		page_html(view.page, "</h2><p>");
--- a/src/console/guard.c
+++ b/src/console/guard.c
@@ -37,21 +37,19 @@
 	uint32_t i;
 
 	for (i = 0; i < console->settings.operator_count; i++) {
-		const struct console_operator *operator=
-			&console->settings.operators[i];
+		const struct console_operator *operator= &
+			console->settings.operators[i];
 
 		if (!strcmp(operator->name, name))
-			return password_fits(password,
-					     operator->password_hash) ?
-				       operator->name :
-				       NULL;
+			return password_fits(password, operator->password_hash)
+				?
+				operator->name : NULL;
 	}
 	return NULL;
 }
 
 /** Splits "Basic base64(name:password)". */
-static const char *check_header(const struct console *console,
-				const char *header)
+static const char *check_header(const struct console *console, const char *header)
 {
 	const char *found = NULL;
 	gsize bytes = 0;
@@ -93,9 +91,10 @@
 
 char *guard_token(const struct console *console, const char *operator_name)
 {
-	return g_compute_hmac_for_string(
-		G_CHECKSUM_SHA256, (const guchar *)console->secret,
-		strlen(console->secret), operator_name, -1);
+	return g_compute_hmac_for_string(G_CHECKSUM_SHA256,
+					 (const guchar *)console->secret,
+					 strlen(console->secret), operator_name,
+					 -1);
 }
 
 /** Browsers say where a post comes from; the console's own is same-origin. */
--- a/src/console/main.c
+++ b/src/console/main.c
@@ -32,8 +32,7 @@
 
 	for (i = 0; i < form->field_count; i++)
 		if (!strcmp(form->fields[i].name, name))
-			return form->fields[i].value ? form->fields[i].value :
-						       "";
+			return form->fields[i].value ? form->fields[i].value : "";
 	return "";
 }
 
@@ -43,8 +42,7 @@
 	int64_t bytes;
 
 	memset(form, 0, sizeof(*form));
-	if (strcmp(mg_get_request_info(connection)->request_method, "POST") !=
-	    0) {
+	if (strcmp(mg_get_request_info(connection)->request_method, "POST") != 0) {
 		http_reply_error(connection, 405, "Allow: POST\r\n",
 				 "this page takes forms only",
 				 "begin at the first page");
@@ -52,8 +50,9 @@
 	}
 	bytes = http_read_body(connection, FORM_BYTES_MAX, &form->text);
 	if (bytes >= 0)
-		form->field_count = mg_split_form_urlencoded(
-			form->text, form->fields, ARRAY_SIZE(form->fields));
+		form->field_count =
+			mg_split_form_urlencoded(form->text, form->fields,
+						 ARRAY_SIZE(form->fields));
 	if (bytes >= 0 && form->field_count >= 0)
 		return true;
 	http_reply_error(connection, 400, NULL, "the form cannot be read",
@@ -62,8 +61,7 @@
 	return false;
 }
 
-typedef void (*form_fn)(struct console *console,
-			struct mg_connection *connection,
+typedef void (*form_fn)(struct console *console, struct mg_connection *connection,
 			const char *operator_name, const struct form *form);
 
 static int handle_form(struct mg_connection *connection,
@@ -127,9 +125,8 @@
 		.keep_alive_ms = 2000,
 		.request_timeout_ms = 10000,
 		.connections_max = 64,
-		.certificate = settings->certificate[0] ?
-				       settings->certificate :
-				       NULL,
+		.certificate =
+			settings->certificate[0] ? settings->certificate : NULL,
 	};
 	struct mg_context *server;
 	int signal_number;
@@ -203,8 +200,9 @@
 {
 	struct arg_file *file =
 		arg_file0("c", "config", "FILE", "settings, in JSON");
-	struct arg_lit *hash = arg_lit0(
-		NULL, "hash", "hash the password on standard input and exit");
+	struct arg_lit *hash =
+		arg_lit0(NULL, "hash",
+			 "hash the password on standard input and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_lit *version =
 		arg_lit0("V", "version", "print the version and exit");
--- a/src/console/page.c
+++ b/src/console/page.c
@@ -6,11 +6,11 @@
 
 #include "http/http_server.h"
 
-#define SECURITY_HEADERS                                                       \
-	"Cache-Control: no-store\r\n"                                          \
-	"Content-Security-Policy: default-src 'none'; style-src 'self'; "      \
-	"form-action 'self'; base-uri 'none'; frame-ancestors 'none'\r\n"      \
-	"Referrer-Policy: same-origin\r\n"                                     \
+#define SECURITY_HEADERS                                                  \
+	"Cache-Control: no-store\r\n"                                     \
+	"Content-Security-Policy: default-src 'none'; style-src 'self'; " \
+	"form-action 'self'; base-uri 'none'; frame-ancestors 'none'\r\n" \
+	"Referrer-Policy: same-origin\r\n"                                \
 	"X-Content-Type-Options: nosniff\r\n"
 
 /* Longer values are cut: a first publication holds whole lists. */
@@ -41,9 +41,12 @@
 	const char *path;
 	const char *name;
 } links[] = {
-	{ "/", "Fleet" },	    { "/steering", "Shifts" },
-	{ "/backends", "Backend servers" }, { "/entries", "Entry VMs" },
-	{ "/services", "Services" },	    { "/links", "Links" },
+	{ "/", "Fleet" },
+	{ "/steering", "Shifts" },
+	{ "/backends", "Backend servers" },
+	{ "/entries", "Entry VMs" },
+	{ "/services", "Services" },
+	{ "/links", "Links" },
 	{ "/history", "History" },
 };
 
@@ -157,9 +160,9 @@
 /** Appends a cell with a value, cut where it is long. */
 static void append_value(GString *page, json_t *value)
 {
-	char *text = json_is_null(value) ?
-			     NULL :
-			     json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+	char *text = json_is_null(value)
+			     ? NULL
+			     : json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
 
 	page_cell(page, "%.*s%s", VALUE_BYTES_SHOWN, text ? text : "(absent)",
 		  text && strlen(text) > VALUE_BYTES_SHOWN ? " ..." : "");
--- a/src/console/page.h
+++ b/src/console/page.h
@@ -13,8 +13,7 @@
 GString *page_begin(const char *title, const char *operator_name);
 
 /** Ends and sends a page, and frees it. */
-void page_send(struct mg_connection *connection, uint32_t status,
-	       GString *page);
+void page_send(struct mg_connection *connection, uint32_t status, GString *page);
 
 /** Appends text that is known to be safe HTML. */
 void page_html(GString *page, const char *html);
--- a/src/entry/offer.c
+++ b/src/entry/offer.c
@@ -21,8 +21,7 @@
 {
 	uint32_t i;
 
-	if (!offer ||
-	    __atomic_sub_fetch(&offer->references, 1, __ATOMIC_ACQ_REL))
+	if (!offer || __atomic_sub_fetch(&offer->references, 1, __ATOMIC_ACQ_REL))
 		return;
 	for (i = 0; i < DOCUMENT_REGIONS_MAX; i++)
 		free(offer->regions[i].candidates);
@@ -77,8 +76,8 @@
 
 	for (i = 0; i < doc->backend_count; i++) {
 		const struct doc_backend *backend = &doc->backends[i];
-		int region = document_region_of_domain(doc,
-						       backend->failure_domain);
+		int region =
+			document_region_of_domain(doc, backend->failure_domain);
 
 		for (k = 0; !backend->leaving && k < doc->service_count; k++)
 			if (!strcmp(doc->services[k].name, backend->service))
@@ -101,8 +100,9 @@
 	offer->held = held;
 	offer->view = view;
 	offer->references = 1;
-	offer->own_region = document_region_of_domain(
-		held->doc, entry->settings.failure_domain);
+	offer->own_region =
+		document_region_of_domain(held->doc,
+					  entry->settings.failure_domain);
 	for (i = 0; i < view->member_count; i++)
 		add_member(offer, i);
 	add_servers(offer);
--- a/src/tlscompat/tlscompat.c
+++ b/src/tlscompat/tlscompat.c
@@ -9,10 +9,11 @@
 
 #undef SSL_get_peer_certificate
 
-X509 *SSL_get_peer_certificate(const SSL *ssl);
+/* the name is not ours to choose */
+X509 *SSL_get_peer_certificate(const SSL *ssl); /* NOLINT */
 
 /** @return the peer's certificate, to be freed by the caller, or NULL. */
-X509 *SSL_get_peer_certificate(const SSL *ssl)
+X509 *SSL_get_peer_certificate(const SSL *ssl) /* NOLINT */
 {
 	return SSL_get1_peer_certificate(ssl);
 }
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -5,45 +5,13 @@
 #include <string.h>
 
 #include "base/attributes.h"
-#include "scenario/world.h"
-
-#define WORDS_MAX 16
-
-/** One line of a scenario, and the words that the pattern's stars matched. */
-struct line {
-	struct world *world;
-	const char *file_name;
-	int number;
-	char *words[WORDS_MAX];
-	int word_count;
-	const char *stars[WORDS_MAX];
-};
+#include "scenario/script_internal.h"
 
 struct command {
 	const char *pattern; /* "*" matches one word */
 	void (*run)(struct line *line);
 };
 
-static void fail(const struct line *line, const char *what)
-{
-	g_error("%s:%d: %s", line->file_name, line->number, what);
-}
-
-static struct world_entry *entry_of(struct line *line, int star)
-{
-	return world_entry(line->world, line->stars[star]);
-}
-
-static struct world_server *server_of(struct line *line, int star)
-{
-	return world_server(line->world, line->stars[star]);
-}
-
-static struct world_order *order_of(struct line *line, int star)
-{
-	return world_order(line->world, line->stars[star]);
-}
-
 /** "250ms", "3s". */
 static int64_t duration_ms(const struct line *line, const char *text)
 {
@@ -53,7 +21,7 @@
 	if (!strcmp(unit, "ms"))
 		return value;
 	if (strcmp(unit, "s") != 0)
-		fail(line, "a time is a number with s or ms");
+		script_fail(line, "a time is a number with s or ms");
 	return value * MS_PER_S;
 }
 
@@ -77,18 +45,18 @@
 
 static void kill_entry(struct line *line)
 {
-	world_kill(line->world, entry_of(line, 0));
+	world_kill(line->world, script_entry(line, 0));
 }
 
 static void restart_entry(struct line *line)
 {
-	world_restart(line->world, entry_of(line, 0));
+	world_restart(line->world, script_entry(line, 0));
 }
 
 static void set_pause(struct line *line, enum pause_place place)
 {
 	pthread_mutex_lock(&line->world->lock);
-	entry_of(line, 0)->pause = place;
+	script_entry(line, 0)->pause = place;
 	pthread_mutex_unlock(&line->world->lock);
 }
 
@@ -109,13 +77,13 @@
 
 static void resume_entry(struct line *line)
 {
-	world_resume(line->world, entry_of(line, 0));
+	world_resume(line->world, script_entry(line, 0));
 }
 
 static void set_cut(struct line *line, bool cut)
 {
 	pthread_mutex_lock(&line->world->lock);
-	entry_of(line, 0)->cut_from_store = cut;
+	script_entry(line, 0)->cut_from_store = cut;
 	pthread_mutex_unlock(&line->world->lock);
 }
 
@@ -185,11 +153,11 @@
 
 	for (i = 0; i < ARRAY_SIZE(server_words); i++)
 		if (!strcmp(server_words[i].word, line->stars[1])) {
-			world_set_server(line->world, server_of(line, 0),
+			world_set_server(line->world, script_server(line, 0),
 					 server_words[i].mode);
 			return;
 		}
-	fail(line, "a backend server does not do this");
+	script_fail(line, "a backend server does not do this");
 }
 
 struct asked {
@@ -206,7 +174,7 @@
 
 static void await_asked(struct line *line)
 {
-	struct asked asked = { server_of(line, 0),
+	struct asked asked = { script_server(line, 0),
 			       (uint32_t)atoi(line->stars[1]) };
 
 	world_await(line->world, is_asked, &asked, "requests at the server");
@@ -216,31 +184,32 @@
 
 static void order_at(struct line *line)
 {
-	struct world_order *order = order_of(line, 0);
+	struct world_order *order = script_order(line, 0);
 
-	world_issue_key(order, entry_of(line, 1));
-	world_run_order(line->world, order, entry_of(line, 1), NULL);
+	world_issue_key(order, script_entry(line, 1));
+	world_run_order(line->world, order, script_entry(line, 1), NULL);
 }
 
 static void plain_order_at(struct line *line)
 {
-	struct world_order *order = order_of(line, 0);
+	struct world_order *order = script_order(line, 0);
 
 	world_plain_key(order);
-	world_run_order(line->world, order, entry_of(line, 1), NULL);
+	world_run_order(line->world, order, script_entry(line, 1), NULL);
 }
 
 static void order_with_body(struct line *line)
 {
-	struct world_order *order = order_of(line, 0);
+	struct world_order *order = script_order(line, 0);
 
-	world_issue_key(order, entry_of(line, 2));
-	world_run_order(line->world, order, entry_of(line, 2), line->stars[1]);
+	world_issue_key(order, script_entry(line, 2));
+	world_run_order(line->world, order, script_entry(line, 2),
+			line->stars[1]);
 }
 
 static void issue(struct line *line)
 {
-	world_issue_key(order_of(line, 0), entry_of(line, 1));
+	world_issue_key(script_order(line, 0), script_entry(line, 1));
 }
 
 struct started {
@@ -264,20 +233,20 @@
 
 	world_begin(line->world);
 	started->world = line->world;
-	started->order = order_of(line, 0);
-	started->at = entry_of(line, 1);
+	started->order = script_order(line, 0);
+	started->at = script_entry(line, 1);
 	world_issue_key(started->order, started->at);
 	if (started->order->thread)
-		fail(line, "the order has a request in progress already");
+		script_fail(line, "the order has a request in progress already");
 	started->order->thread = g_thread_new("order", run_started, started);
 }
 
 static void await_order(struct line *line)
 {
-	struct world_order *order = order_of(line, 0);
+	struct world_order *order = script_order(line, 0);
 
 	if (!order->thread)
-		fail(line, "the order has no request in progress");
+		script_fail(line, "the order has no request in progress");
 	g_thread_join(order->thread);
 	order->thread = NULL;
 }
@@ -291,7 +260,7 @@
 
 static void await_paused(struct line *line)
 {
-	world_await(line->world, is_paused, entry_of(line, 0),
+	world_await(line->world, is_paused, script_entry(line, 0),
 		    "the entry VM reaches its pause");
 }
 
@@ -307,7 +276,7 @@
 
 static void await_unclaimed(struct line *line)
 {
-	world_await(line->world, is_unclaimed, entry_of(line, 0),
+	world_await(line->world, is_unclaimed, script_entry(line, 0),
 		    "the entry VM goes without claims");
 }
 
@@ -315,75 +284,13 @@
 {
 	/* the claims thread looks for the store once in this time */
 	world_advance_ms(line->world, 2000);
-	world_await(line->world, is_claimed, entry_of(line, 0),
+	world_await(line->world, is_claimed, script_entry(line, 0),
 		    "the entry VM claims again");
 }
 
 static void read_at(struct line *line)
 {
-	world_run_read(line->world, entry_of(line, 1), line->stars[0]);
-}
-
-/* expectations */
-
-static void expect_runs(struct line *line)
-{
-	if (order_of(line, 0)->runs != (uint32_t)atoi(line->stars[1]))
-		g_error("%s:%d: order %s ran %u times", line->file_name,
-			line->number, line->stars[0], order_of(line, 0)->runs);
-}
-
-static void expect_at_most_once(struct line *line)
-{
-	if (order_of(line, 0)->runs > 1)
-		fail(line, "the order ran more than once");
-}
-
-static const struct world_attempt *last_attempt(struct line *line)
-{
-	GArray *attempts = order_of(line, 0)->attempts;
-
-	if (!attempts->len)
-		fail(line, "the order was not attempted");
-	return &g_array_index(attempts, struct world_attempt, attempts->len - 1);
-}
-
-static void expect_told(struct line *line)
-{
-	const char *told = verdict_text(last_attempt(line)->verdict);
-
-	if (strcmp(told, line->stars[1]) != 0)
-		g_error("%s:%d: order %s was told %s", line->file_name,
-			line->number, line->stars[0], told);
-}
-
-static void expect_status(struct line *line)
-{
-	uint32_t status = last_attempt(line)->status;
-
-	if (status != (uint32_t)atoi(line->stars[1]))
-		g_error("%s:%d: order %s got status %u", line->file_name,
-			line->number, line->stars[0], status);
-}
-
-static void expect_server_ran(struct line *line)
-{
-	if (server_of(line, 0)->ran != (uint32_t)atoi(line->stars[1]))
-		g_error("%s:%d: server %s ran %u requests", line->file_name,
-			line->number, line->stars[0], server_of(line, 0)->ran);
-}
-
-static void expect_read_told(struct line *line)
-{
-	if (strcmp(verdict_text(line->world->read_verdict), line->stars[0]) != 0)
-		fail(line, "the request was told otherwise");
-}
-
-static void expect_read_attempts(struct line *line)
-{
-	if (line->world->read_attempts != (uint32_t)atoi(line->stars[0]))
-		g_error("%s:%d: %u attempts", line->file_name, line->number,
-			line->world->read_attempts);
+	world_run_read(line->world, script_entry(line, 1), line->stars[0]);
 }
 
 static void run_words(struct line *line);
@@ -396,7 +303,7 @@
 			 duration_ms(line, line->words[1]) * NS_PER_MS;
 
 	if (due_ns < line->world->manual.now_ns)
-		fail(line, "this time has passed");
+		script_fail(line, "this time has passed");
 	world_advance_ms(line->world,
 			 (due_ns - line->world->manual.now_ns) / NS_PER_MS);
 	memmove(rest.words, line->words + 2,
@@ -433,13 +340,13 @@
 	{ "start order * at *", start_order },
 	{ "await order *", await_order },
 	{ "read * at *", read_at },
-	{ "expect order * runs at most once", expect_at_most_once },
-	{ "expect order * runs *", expect_runs },
-	{ "expect order * told *", expect_told },
-	{ "expect order * status *", expect_status },
-	{ "expect server * ran *", expect_server_ran },
-	{ "expect read told *", expect_read_told },
-	{ "expect read attempts *", expect_read_attempts },
+	{ "expect order * runs at most once", script_expect_at_most_once },
+	{ "expect order * runs *", script_expect_runs },
+	{ "expect order * told *", script_expect_told },
+	{ "expect order * status *", script_expect_status },
+	{ "expect server * ran *", script_expect_server_ran },
+	{ "expect read told *", script_expect_read_told },
+	{ "expect read attempts *", script_expect_read_attempts },
 };
 
 static bool matches(struct line *line, const char *pattern)
@@ -472,7 +379,7 @@
 			commands[i].run(line);
 			return;
 		}
-	fail(line, "not a command of the language");
+	script_fail(line, "not a command of the language");
 }
 
 static GScanner *scanner_for(const char *text)
@@ -497,7 +404,7 @@
 static void add_word(struct line *line, const char *word)
 {
 	if (line->word_count == WORDS_MAX)
-		fail(line, "the line has too many words");
+		script_fail(line, "the line has too many words");
 	line->words[line->word_count++] = g_strdup(word);
 }
 
@@ -531,7 +438,7 @@
 			end_line(&line);
 		} else {
 			line.number = (int)scanner->line;
-			fail(&line, "not a word of the language");
+			script_fail(&line, "not a word of the language");
 		}
 	}
 	end_line(&line);
