--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,15 @@
 	@$(MAKE) --no-print-directory all
 	./demo/run $(BUILD)
 
-bench: all ## measure
+bench: all ## measure a forward, look-ups and the choice of server
 	./bench/run $(BUILD)
 
+decide-bench: all ## compare the ways to choose a backend server
+	$(BUILD)/auburnreach-bench decide
+
+slopes: all ## measure what control costs at several sizes (about ten minutes)
+	./bench/slopes $(BUILD)
+
 lint: all ## clang-tidy, cppcheck and the project's own checks
 	./.ci/lint $(BUILD)
 
@@ -44,6 +50,6 @@
 	rm -rf build build-asan build-tsan demo/out
 
 help: ## list the targets
-	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/' | expand -t 16
+	@grep -E '^[a-z-]+:.*\#\#' Makefile | sed 's/:.*## /\t/' | expand -t 16
 
-.PHONY: all deps test demo bench lint format check-format asan tsan clean help
+.PHONY: all deps test demo bench decide-bench slopes lint format check-format asan tsan clean help
--- a/bench/main.c
+++ b/bench/main.c
@@ -25,6 +25,7 @@
 	  bench_forward },
 	{ "lookups", "look-ups against an empty handler", bench_lookups },
 	{ "ports", "print free ports of the loopback address", bench_ports },
+	{ "decide", "ways to choose a backend server, in a model", bench_decide },
 };
 
 static void print_help(FILE *out)
--- a/standin/store_main.c
+++ b/standin/store_main.c
@@ -20,7 +20,7 @@
  *     GET  /standin/calls         how many calls came
  */
 
-#define THREADS 200
+#define THREADS 1200
 #define WATCH_WAIT_MS 1000
 
 enum fault {
@@ -193,7 +193,7 @@
 	struct http_server_options options = {
 		.address = "127.0.0.1:2379",
 		.threads = THREADS,
-		.keep_alive_ms = 30000,
+		.keep_alive_ms = 6000,
 		.request_timeout_ms = 30000,
 		.connections_max = THREADS,
 	};
--- a/test/scenario/script_expect.c
+++ b/test/scenario/script_expect.c
@@ -32,7 +32,8 @@
 {
 	if (script_order(line, 0)->runs != (uint32_t)atoi(line->stars[1]))
 		g_error("%s:%d: order %s ran %u times", line->file_name,
-			line->number, line->stars[0], script_order(line, 0)->runs);
+			line->number, line->stars[0],
+			script_order(line, 0)->runs);
 }
 
 void script_expect_at_most_once(struct line *line)
@@ -72,7 +73,8 @@
 {
 	if (script_server(line, 0)->ran != (uint32_t)atoi(line->stars[1]))
 		g_error("%s:%d: server %s ran %u requests", line->file_name,
-			line->number, line->stars[0], script_server(line, 0)->ran);
+			line->number, line->stars[0],
+			script_server(line, 0)->ran);
 }
 
 void script_expect_read_told(struct line *line)
--- a/test/scenario/world_internal.h
+++ b/test/scenario/world_internal.h
@@ -14,8 +14,7 @@
 
 /** Fills in an exchange as if its request had come over HTTP. */
 void world_make_exchange(struct world_entry *at, struct exchange *exchange,
-			 const char *key, const char *body,
-			 int64_t deadline_ns);
+			 const char *key, const char *body, int64_t deadline_ns);
 
 /** Gives an entry VM the fakes as its transport and fleet. */
 void world_connect(struct world_entry *at);
--- a/test/scenario/world_wire.c
+++ b/test/scenario/world_wire.c
@@ -147,7 +147,8 @@
 	exchange->body = strdup(body);
 	exchange->body_bytes = (uint32_t)strlen(body);
 	exchange->deadline_ns = deadline_ns;
-	exchange->fingerprint = order_digest("POST", WORLD_PATH, body, strlen(body));
+	exchange->fingerprint =
+		order_digest("POST", WORLD_PATH, body, strlen(body));
 	snprintf(exchange->request_id, sizeof(exchange->request_id), "%s-%u",
 		 at->name, g_random_int());
 	exchange->headers = g_strdup_printf(HEADER_REQUEST_ID
@@ -166,7 +167,7 @@
 
 	if (world_pass_pause(late->to, PAUSE_ANYWHERE)) {
 		world_make_exchange(late->to, &exchange, late->key, late->body,
-			     late->deadline_ns);
+				    late->deadline_ns);
 		exchange.passed = true;
 		order_run(&late->to->entry, &exchange, late->key);
 		forward_clear(&exchange);
@@ -205,7 +206,8 @@
 		deliver_late(to, request, key);
 		result = HTTP_TIMED_OUT;
 	} else {
-		world_make_exchange(to, &exchange, key, body, request->deadline_ns);
+		world_make_exchange(to, &exchange, key, body,
+				    request->deadline_ns);
 		exchange.passed = true;
 		order_run(&to->entry, &exchange, key);
 		make_answer(answer,
