fix(peer): join by every seed; tell all domains of a planned stop

Problem: with six failure domains of five VMs, 15 s after the start an entry VM knew 16 of 30, and the count of a version in force took 44 s to reach all: a VM that joined spoke to one of twelve seeds every three seconds, and ten of them were of other domains. The sanitizers showed leaks (lists of addresses, an empty document in the history of a first publication) and, with the thread sanitizer's slower programs, a planned stop whose callers were still sent to the VM when it had gone: 35 of 345 orders were not run. Two scenarios depended on the order of threads.

Solution: for its first seconds, or while it knows nobody of its domain, a VM speaks to all seeds each second. A VM that leaves sends its domain's digest to the other domains at once. The lists and the document are freed. A ring's consumer takes the lock too, so that the thread sanitizer sees the hand-over. Scenarios wait for the state that they rely on.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,8 +20,8 @@
 
 /** A clock that moves only when its owner advances it. */
 struct clock_manual {
-	int64_t now_ns;
-	int64_t unix_ms;
+	_Atomic int64_t now_ns;
+	_Atomic int64_t unix_ms;
 };
 
 /** The machine's monotonic clock. */
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -11,7 +11,7 @@
 struct ring {
 	ck_ring_t ring;
 	ck_ring_buffer_t *buffer;
-	pthread_mutex_t producers;
+	pthread_mutex_t lock;
 	sem_t filled;
 };
 
@@ -27,7 +27,7 @@
 		return NULL;
 	}
 	ck_ring_init(&ring->ring, slots);
-	pthread_mutex_init(&ring->producers, NULL);
+	pthread_mutex_init(&ring->lock, NULL);
 	sem_init(&ring->filled, 0, 0);
 	return ring;
 }
@@ -36,7 +36,7 @@
 {
 	if (!ring)
 		return;
-	pthread_mutex_destroy(&ring->producers);
+	pthread_mutex_destroy(&ring->lock);
 	sem_destroy(&ring->filled);
 	free(ring->buffer);
 	free(ring);
@@ -47,9 +47,9 @@
 	bool pushed;
 
 	/* a lock, not a spin: producers outnumber the cores */
-	pthread_mutex_lock(&ring->producers);
+	pthread_mutex_lock(&ring->lock);
 	pushed = ck_ring_enqueue_spsc(&ring->ring, ring->buffer, entry);
-	pthread_mutex_unlock(&ring->producers);
+	pthread_mutex_unlock(&ring->lock);
 	if (!pushed)
 		return false;
 	sem_post(&ring->filled);
@@ -76,8 +76,10 @@
 
 	if (sem_trywait(&ring->filled) && wait_ms)
 		wait_filled(ring, wait_ms);
+	pthread_mutex_lock(&ring->lock);
 	if (!ck_ring_dequeue_spsc(&ring->ring, ring->buffer, &entry))
-		return NULL;
+		entry = NULL;
+	pthread_mutex_unlock(&ring->lock);
 	return entry;
 }
 
--- a/src/base/shape_write.c
+++ b/src/base/shape_write.c
@@ -39,6 +39,7 @@
 			*string_at(object, field) = NULL;
 			break;
 		case FIELD_NAMES:
+		case FIELD_ADDRESSES:
 		case FIELD_OBJECTS:
 			clear_list(field, object);
 			break;
--- a/src/decide/lend.c
+++ b/src/decide/lend.c
@@ -101,8 +101,7 @@
 
 	if (server >= 0) {
 		lend->servers[server].used++;
-		return order_of(LEND_USE, lend->self, (uint32_t)server,
-				request);
+		return order_of(LEND_USE, lend->self, (uint32_t)server, request);
 	}
 	if (!add_waiter(lend, lend->self, request, now_ms, until_ms))
 		return order_of(LEND_NOTHING, 0, 0, request);
@@ -133,8 +132,7 @@
 	return -1;
 }
 
-struct lend_order lend_granted(struct lend *lend, uint32_t server,
-			       int64_t now_ms)
+struct lend_order lend_granted(struct lend *lend, uint32_t server, int64_t now_ms)
 {
 	struct lend_order order;
 	int index;
@@ -151,8 +149,7 @@
 }
 
 /** Gives a free slot of an own server to the oldest waiter. */
-static struct lend_order give(struct lend *lend, uint32_t server,
-			      int64_t now_ms)
+static struct lend_order give(struct lend *lend, uint32_t server, int64_t now_ms)
 {
 	struct lend_server *own = &lend->servers[server];
 	struct lend_waiter oldest;
@@ -178,8 +175,7 @@
 	return order_of(LEND_RETURN, owner, server, 0);
 }
 
-struct lend_order lend_returned(struct lend *lend, uint32_t server,
-				int64_t now_ms)
+struct lend_order lend_returned(struct lend *lend, uint32_t server, int64_t now_ms)
 {
 	return give(lend, server, now_ms);
 }
--- a/src/decide/lend.h
+++ b/src/decide/lend.h
@@ -85,8 +85,7 @@
  * A request of this VM has ended on a server. @return what the slot is used
  * for next, or LEND_RETURN for a borrowed one.
  */
-struct lend_order lend_ended(struct lend *lend, uint32_t server,
-			     int64_t now_ms);
+struct lend_order lend_ended(struct lend *lend, uint32_t server, int64_t now_ms);
 
 /** A peer gave a slot back. @return what it is used for next. */
 struct lend_order lend_returned(struct lend *lend, uint32_t server,
--- a/src/peer/gossip.c
+++ b/src/peer/gossip.c
@@ -20,6 +20,9 @@
 #define DELEGATES 2
 #define DELEGATE_PERIOD_MS 2000
 #define SEED_PERIOD_MS 3000
+#define JOIN_PERIOD_MS 1000
+#define JOIN_MS 5000
+#define JOIN_SEEDS_MAX 64U
 #define POSITION_ASK_PERIOD_MS 500
 #define POSITION_ASK_MS 5000
 
@@ -276,23 +279,38 @@
 	return "";
 }
 
-/** Speaks to one seed, so that parts that lost each other meet again. */
-static void send_to_seed(struct peer *peer)
+static void send_to_seed(struct peer *peer, const Wire__Envelope *envelope,
+			 uint32_t index)
 {
+	const char *address = peer->seeds->pdata[index];
+
+	if (strcmp(address, member_self(peer->table)->peer_address) != 0)
+		peer_message_send(peer, envelope, address,
+				  domain_of(peer, address));
+}
+
+/**
+ * Speaks to one seed, so that parts that lost each other meet again. A member
+ * that joins, or that knows no other of its domain, speaks to many: few seeds
+ * are of its own domain.
+ */
+static void send_to_seeds(struct peer *peer, int64_t now_ms)
+{
+	bool joining = now_ms - peer->started_ms < JOIN_MS ||
+		       member_count(peer->table) == 1;
+	uint32_t count = peer->seeds->len;
 	struct heartbeat heartbeat;
-	const char *address;
+	uint32_t start, i;
 
-	if (!peer->seeds->len)
-		return;
-	address = peer->seeds->pdata[g_rand_int_range(peer->random, 0,
-						      (gint32)peer->seeds->len)];
-	if (!strcmp(address, member_self(peer->table)->peer_address))
+	peer->seed_at_ms = now_ms + (joining ? JOIN_PERIOD_MS : SEED_PERIOD_MS);
+	if (!count)
 		return;
 	heartbeat_init(&heartbeat, peer);
 	add_entries(&heartbeat, peer);
 	add_digests(&heartbeat, peer);
-	peer_message_send(peer, &heartbeat.envelope, address,
-			  domain_of(peer, address));
+	start = (uint32_t)g_rand_int_range(peer->random, 0, (gint32)count);
+	for (i = 0; i < count && i < (joining ? JOIN_SEEDS_MAX : 1); i++)
+		send_to_seed(peer, &heartbeat.envelope, (start + i) % count);
 	heartbeat_clear(&heartbeat);
 }
 
@@ -328,10 +346,8 @@
 		if (member_rank(peer->table, "delegate") < DELEGATES)
 			send_digests(peer);
 	}
-	if (now_ms >= peer->seed_at_ms) {
-		peer->seed_at_ms = now_ms + SEED_PERIOD_MS;
-		send_to_seed(peer);
-	}
+	if (now_ms >= peer->seed_at_ms)
+		send_to_seeds(peer, now_ms);
 	ask_positions(peer, now_ms);
 }
 
@@ -351,6 +367,20 @@
 	heartbeat_clear(&heartbeat);
 }
 
+void peer_tell_flags(struct peer *peer, int64_t now_ms)
+{
+	struct heartbeat heartbeat;
+
+	member_self(peer->table)->heartbeat++;
+	renew_own_domain(peer, now_ms);
+	heartbeat_init(&heartbeat, peer);
+	add_entries(&heartbeat, peer);
+	add_digests(&heartbeat, peer);
+	send_in_domain(peer, &heartbeat.envelope, UINT32_MAX);
+	send_to_domains(peer, &heartbeat.envelope);
+	heartbeat_clear(&heartbeat);
+}
+
 void peer_tell_domain(struct peer *peer, char *leaving_backend,
 		      uint64_t quarantined)
 {
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -90,7 +90,7 @@
 	if (peer->told_flags == flags)
 		return;
 	peer->told_flags = flags;
-	peer_tell_domain(peer, NULL, 0);
+	peer_tell_flags(peer, clock_now_ms(&clock_system));
 }
 
 static int is_known_address(void *context, const char *address)
--- a/src/peer/peer_internal.h
+++ b/src/peer/peer_internal.h
@@ -86,6 +86,9 @@
 void peer_tell_domain(struct peer *peer, char *leaving_backend,
 		      uint64_t quarantined);
 
+/** Tells the domain and the other domains' that this VM's flags changed. */
+void peer_tell_flags(struct peer *peer, int64_t now_ms);
+
 /** Rebuilds the view that other threads read. */
 void peer_view_rebuild(struct peer *peer);
 
--- a/src/store/publish.c
+++ b/src/store/publish.c
@@ -52,8 +52,8 @@
 /** The record of a publication; changes too long to keep are counted. */
 static char *history_text(json_t *held, const struct publication *publication)
 {
-	json_t *changes =
-		diff_documents(held ? held : json_object(), publication->value);
+	json_t *before = held ? json_incref(held) : json_object();
+	json_t *changes = diff_documents(before, publication->value);
 	json_t *record;
 	char *text;
 
@@ -72,6 +72,7 @@
 	}
 	json_decref(record);
 	json_decref(changes);
+	json_decref(before);
 	return text;
 }
 
--- a/test/scenario/fake_store.c
+++ b/test/scenario/fake_store.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "scenario/world.h"
+#include "scenario/world_internal.h"
 
 /**
  * @file
@@ -13,6 +13,12 @@
 	uint64_t mod_revision;
 };
 
+void world_value_free(gpointer value)
+{
+	g_free(((struct world_value *)value)->bytes);
+	g_free(value);
+}
+
 /** Whether this process reaches the store now. The lock is held. */
 static bool is_reached(const struct world_entry *entry)
 {
@@ -110,6 +116,15 @@
 	return reached ? STORE_OK : STORE_UNREACHABLE;
 }
 
+bool world_is_recorded(struct world *world, const struct world_order *order)
+{
+	char *key = g_strconcat(STORE_PREFIX_CLAIMS, order->key, NULL);
+	const struct world_value *held = g_hash_table_lookup(world->data, key);
+
+	g_free(key);
+	return held && strstr(held->bytes, "\"outcome\":2");
+}
+
 struct store world_store(struct world_entry *entry)
 {
 	struct store store = {
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -251,6 +251,31 @@
 	order->thread = NULL;
 }
 
+struct recorded {
+	struct world *world;
+	const struct world_order *order;
+};
+
+static bool is_recorded(void *context)
+{
+	const struct recorded *recorded = context;
+
+	return world_is_recorded(recorded->world, recorded->order);
+}
+
+static void await_recorded(struct line *line)
+{
+	struct recorded recorded = { line->world, script_order(line, 0) };
+
+	world_await(line->world, is_recorded, &recorded,
+		    "the store holds the order's outcome");
+}
+
+static void await_late(struct line *line)
+{
+	world_join_late(line->world);
+}
+
 static bool is_paused(void *context)
 {
 	const struct world_entry *entry = context;
@@ -338,6 +363,8 @@
 	{ "plain order * at *", plain_order_at },
 	{ "order * body * at *", order_with_body },
 	{ "start order * at *", start_order },
+	{ "await late requests", await_late },
+	{ "await order * recorded", await_recorded },
 	{ "await order *", await_order },
 	{ "read * at *", read_at },
 	{ "expect order * runs at most once", script_expect_at_most_once },
--- a/test/scenario/world.h
+++ b/test/scenario/world.h
@@ -146,6 +146,12 @@
 void world_set_server(struct world *world, struct world_server *server,
 		      enum server_mode mode);
 
+/** Waits until requests that a pause delayed have ended. */
+void world_join_late(struct world *world);
+
+/** @return whether the store holds the outcome of an order. Lock held. */
+bool world_is_recorded(struct world *world, const struct world_order *order);
+
 /** The store's faces, in fake_store.c. */
 struct store world_store(struct world_entry *entry);
 
--- a/test/scenario/world_internal.h
+++ b/test/scenario/world_internal.h
@@ -16,6 +16,9 @@
 void world_make_exchange(struct world_entry *at, struct exchange *exchange,
 			 const char *key, const char *body, int64_t deadline_ns);
 
+/** Frees a value of the fake store. */
+void world_value_free(gpointer value);
+
 /** Gives an entry VM the fakes as its transport and fleet. */
 void world_connect(struct world_entry *at);
 
