--- a/bench/model.c
+++ b/bench/model.c
@@ -1,15 +1,11 @@
-#include "model.h"
+#include "model_internal.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/attributes.h"
-#include "decide/lend.h"
-#include "decide/pick.h"
 
-#define ENTRIES_MAX 64
-#define SERVERS_MAX 64
 /* One way between two processes of a failure domain, and of two. Entry VMs and
  * servers alternate between the two domains of the region. */
 #define NEAR_HOP_US 100
@@ -49,33 +45,6 @@
 	uint32_t server;
 };
 
-struct request {
-	int64_t arrived_us;
-	int64_t service_us;
-	uint32_t entry;
-	uint32_t tried[SERVERS_MAX];
-	uint32_t tried_count;
-	uint32_t part; /* the lent or owned slot that it uses */
-	uint32_t asked[ENTRIES_MAX];
-	uint32_t asked_count;
-};
-
-struct model {
-	const struct model_options *options;
-	struct model_result *result;
-	GRand *random;
-	GSequence *events;
-	uint64_t event_count;
-	int64_t now_us;
-	struct request *requests;
-	uint32_t busy[SERVERS_MAX]; /* as the server counts */
-	GQueue queue;		    /* of the one queue */
-	struct pick_server view[ENTRIES_MAX][SERVERS_MAX];
-	uint32_t turn[ENTRIES_MAX];
-	struct lend lend[ENTRIES_MAX];
-	uint32_t hint[ENTRIES_MAX]; /* the last owner that granted */
-};
-
 static gint compare_events(gconstpointer a, gconstpointer b, gpointer context)
 {
 	const struct event *left = a;
@@ -108,11 +77,6 @@
 	return a % 2 == b % 2 ? NEAR_HOP_US : FAR_HOP_US;
 }
 
-static int64_t now_ms(const struct model *model)
-{
-	return model->now_us / 1000;
-}
-
 static double draw_normal(GRand *random)
 {
 	double a = g_rand_double_range(random, 1e-12, 1);
@@ -121,12 +85,6 @@
 	return sqrt(-2 * log(a)) * cos(2 * G_PI * b);
 }
 
-static uint64_t draw(struct model *model)
-{
-	return (uint64_t)g_rand_int(model->random) << 32 |
-	       g_rand_int(model->random);
-}
-
 static void send_to(struct model *model, uint32_t request, uint32_t server)
 {
 	uint32_t entry = model->requests[request].entry;
@@ -135,99 +93,13 @@
 		 0, server);
 }
 
-/* the ways of guessing */
-
-static bool was_tried(const struct request *request, uint32_t server)
-{
-	uint32_t i;
-
-	for (i = 0; i < request->tried_count; i++)
-		if (request->tried[i] == server)
-			return true;
-	return false;
-}
-
-static int guess_random(struct model *model, const struct request *request)
-{
-	uint32_t servers = model->options->servers;
-	uint32_t server;
-
-	do
-		server = g_rand_int(model->random) % servers;
-	while (was_tried(request, server));
-	return (int)server;
-}
-
-static int guess_in_turn(struct model *model, const struct request *request)
-{
-	uint32_t *turn = &model->turn[request->entry];
-
-	do
-		*turn = (*turn + 1) % model->options->servers;
-	while (was_tried(request, *turn));
-	return (int)*turn;
-}
-
-static int guess_least(struct model *model, const struct request *request)
-{
-	const struct pick_server *view = model->view[request->entry];
-	uint32_t start = g_rand_int(model->random);
-	int best = -1;
-	uint32_t i, server;
-
-	for (i = 0; i < model->options->servers; i++) {
-		server = (start + i) % model->options->servers;
-		if (was_tried(request, server))
-			continue;
-		if (best < 0 || view[server].in_flight < view[best].in_flight)
-			best = (int)server;
-	}
-	return best;
-}
-
-static int guess_of_two(struct model *model, const struct request *request)
-{
-	const struct pick_server *view = model->view[request->entry];
-	int a = guess_random(model, request);
-	int b = guess_random(model, request);
-
-	return view[b].in_flight < view[a].in_flight ? b : a;
-}
-
-static int guess(struct model *model, struct request *request)
-{
-	struct pick_server *view = model->view[request->entry];
-	int server = -1;
-
-	switch (model->options->way) {
-	case MODEL_RANDOM:
-		server = guess_random(model, request);
-		break;
-	case MODEL_ROUND_ROBIN:
-		server = guess_in_turn(model, request);
-		break;
-	case MODEL_LEAST:
-		server = guess_least(model, request);
-		break;
-	case MODEL_TWO_CHOICES:
-		server = guess_of_two(model, request);
-		break;
-	default:
-		return pick_choose(view, model->options->servers,
-				   request->tried, request->tried_count,
-				   draw(model), now_ms(model));
-	}
-	view[server].in_flight++;
-	return server;
-}
-
 static void try_guess(struct model *model, uint32_t number)
 {
 	struct request *request = &model->requests[number];
 	int server = -1;
 
 	if (request->tried_count < model->options->servers)
-		server = guess(model, request);
+		server = model_guess(model, request);
 	if (server < 0) {
 		request->tried_count = 0;
 		schedule(model, AGAIN_US, EVENT_TRY, number, request->entry, 0,
@@ -305,8 +177,8 @@
 static void want(struct model *model, uint32_t entry, uint32_t request)
 {
 	struct lend_order order =
-		lend_want(&model->lend[entry], request, now_ms(model),
-			  now_ms(model) + WAIT_MS);
+		lend_want(&model->lend[entry], request, model_now_ms(model),
+			  model_now_ms(model) + WAIT_MS);
 
 	if (order.action == LEND_WAIT && model->options->way == MODEL_LEND)
 		ask_owners(model, entry, request);
@@ -385,7 +257,7 @@
 
 	if (model->options->way == MODEL_PICK)
 		pick_finish(view, model->options->servers, event->server,
-			    outcome, now_ms(model));
+			    outcome, model_now_ms(model));
 	else if (view[event->server].in_flight)
 		view[event->server].in_flight--;
 }
@@ -404,7 +276,7 @@
 	    model->options->way == MODEL_LEND)
 		carry_out(model, event->entry,
 			  lend_ended(&model->lend[event->entry], request->part,
-				     now_ms(model)));
+				     model_now_ms(model)));
 	else
 		note_outcome(model, event, PICK_ANSWERED);
 }
@@ -436,7 +308,8 @@
 	case EVENT_ASK:
 		carry_out(model, event->entry,
 			  lend_asked(lend, event->peer, event->request,
-				     now_ms(model), now_ms(model) + WAIT_MS));
+				     model_now_ms(model),
+				     model_now_ms(model) + WAIT_MS));
 		break;
 	case EVENT_CANCEL:
 		lend_cancel(lend, event->peer, event->request);
@@ -444,11 +317,11 @@
 	case EVENT_GRANT:
 		model->hint[event->entry] = event->peer;
 		carry_out(model, event->entry,
-			  lend_granted(lend, event->server, now_ms(model)));
+			  lend_granted(lend, event->server, model_now_ms(model)));
 		break;
 	case EVENT_RETURN:
 		carry_out(model, event->entry,
-			  lend_returned(lend, event->server, now_ms(model)));
+			  lend_returned(lend, event->server, model_now_ms(model)));
 		break;
 	}
 	if (model->options->way == MODEL_ONE_QUEUE)
