test: fuzz the parsers of outside input for a fixed count

Problem: documents, peers' messages and callers' keys were only tried with inputs that someone thought of.

--- a/Makefile
+++ b/Makefile
@@ -46,10 +46,15 @@
 	$(MAKE) all BUILD=build-tsan TYPE=Debug SANITIZE=thread
 	G_SLICE=always-malloc TSAN_OPTIONS="exitcode=66 suppressions=$(CURDIR)/test/tsan.supp" ./test/run build-tsan
 
+fuzz: ## feed the parsers a fixed number of inputs (clang)
+	@CC=clang cmake -S . -B build-fuzz -DCMAKE_BUILD_TYPE=Debug -DFUZZ=ON >/dev/null
+	@cmake --build build-fuzz -j $(JOBS) --target document_fuzz wire_fuzz key_fuzz
+	./test/fuzz/run build-fuzz
+
 clean: ## remove what was built
-	rm -rf build build-asan build-tsan demo/out
+	rm -rf build build-asan build-tsan build-fuzz demo/out
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*\#\#' Makefile | sed 's/:.*## /\t/' | expand -t 16
 
-.PHONY: all deps test demo bench decide-bench slopes lint format check-format asan tsan clean help
+.PHONY: all deps test demo bench decide-bench slopes lint format check-format asan tsan fuzz clean help
--- /dev/null
+++ b/test/fuzz/document_fuzz.c
@@ -0,0 +1,34 @@
+#include <stddef.h>
+#include <stdint.h>
+
+#include "document/diff.h"
+#include "document/document.h"
+
+/**
+ * @file
+ * Documents from the store, from peers and from operators' files.
+ */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size); /* NOLINT */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) /* NOLINT */
+{
+	struct shape_errors errors = shape_errors_new();
+	struct document *doc =
+		document_parse((const char *)data, size, &errors);
+	json_t *value, *differences;
+
+	if (doc) {
+		value = document_to_json(doc);
+		differences = diff_documents(value, value);
+		if (json_array_size(differences))
+			__builtin_trap();
+		json_decref(differences);
+		json_decref(value);
+	} else if (!errors.count) {
+		__builtin_trap(); /* a refusal must say why */
+	}
+	document_free(doc);
+	shape_errors_clear(&errors);
+	return 0;
+}
