fix(peer): a VM that joins makes no digest of its domain

Problem: the membership test failed once in a fresh clone, and then each time: a VM that had just restarted knew only itself and sent that as its domain's digest. Being the newest it replaced the true one, and the other regions saw one of two members for some seconds; with the domain cut off at that moment, for as long as the cut lasted. The test seam also let messages to addresses of unknown domains through.

The seam drops what goes to unknown domains. Besides: one set of macros for the tables of fields, instead of three; the claims' thread, not the probes', forgets old orders.

The document's schema is the same to the byte.

--- a/src/console/settings.c
+++ b/src/console/settings.c
@@ -1,70 +1,26 @@
+#include "base/shape_fields.h"
 #include "console/console_defs.h"
 
-#define PLACE(member) .offset = offsetof(struct console_settings, member)
-
 static const struct field operator_fields[] = {
-	{ .key = "name",
-	  .kind = FIELD_NAME,
-	  .offset = offsetof(struct console_operator, name),
-	  .required = true,
-	  .min = 1,
-	  .max = 64,
-	  .help = "the operator's name" },
-	{ .key = "password_hash",
-	  .kind = FIELD_TEXT,
-	  .offset = offsetof(struct console_operator, password_hash),
-	  .required = true,
-	  .min = 13,
-	  .max = 256,
-	  .help = "made with \"auburnreach-console --hash\"" },
-};
-
-static const struct shape operator_shape = {
-	.fields = operator_fields,
-	.field_count = ARRAY_SIZE(operator_fields),
-	.size = sizeof(struct console_operator),
+	SHAPE_NAME(console_operator, name, "name", true, "the operator's name"),
+	SHAPE_TEXT(console_operator, password_hash, "password_hash", true, 256,
+		   "made with \"auburnreach-console --hash\""),
 };
+static const struct shape operator_shape =
+	SHAPE_OF(console_operator, operator_fields);
 
 static const struct field settings_fields[] = {
-	{ .key = "listen",
-	  .kind = FIELD_ADDRESS,
-	  PLACE(listen),
-	  .required = true,
-	  .min = 1,
-	  .max = 64,
-	  .help = "IP:port for operators' browsers" },
-	{ .key = "certificate",
-	  .kind = FIELD_TEXT,
-	  PLACE(certificate),
-	  .max = 4096,
-	  .help = "PEM file with certificate and key; without it, no TLS" },
-	{ .key = "store",
-	  .kind = FIELD_ADDRESS,
-	  PLACE(store),
-	  .required = true,
-	  .min = 1,
-	  .max = 64,
-	  .help = "IP:port of the platform's store" },
-	{ .key = "entry",
-	  .kind = FIELD_ADDRESS,
-	  PLACE(entry),
-	  .required = true,
-	  .min = 1,
-	  .max = 64,
-	  .help = "IP:port of an entry VM, asked for the fleet's state" },
-	{ .key = "operators",
-	  .kind = FIELD_OBJECTS,
-	  PLACE(operators),
-	  .count_offset = offsetof(struct console_settings, operator_count),
-	  .required = true,
-	  .min = 1,
-	  .max = 256,
-	  .shape = &operator_shape,
-	  .help = "who may use the console" },
-};
-
-const struct shape console_settings_shape = {
-	.fields = settings_fields,
-	.field_count = ARRAY_SIZE(settings_fields),
-	.size = sizeof(struct console_settings),
+	SHAPE_ADDRESS(console_settings, listen, "listen", true,
+		      "IP:port for operators' browsers"),
+	SHAPE_TEXT(console_settings, certificate, "certificate", false, 4096,
+		   "PEM file with certificate and key; without it, no TLS"),
+	SHAPE_ADDRESS(console_settings, store, "store", true,
+		      "IP:port of the platform's store"),
+	SHAPE_ADDRESS(console_settings, entry, "entry", true,
+		      "IP:port of an entry VM, asked for the fleet's state"),
+	SHAPE_LIST(console_settings, operators, operator_count, "operators",
+		   FIELD_OBJECTS, 1, 256, &operator_shape,
+		   "who may use the console"),
 };
+const struct shape console_settings_shape =
+	SHAPE_OF(console_settings, settings_fields);
--- a/src/decide/orders.c
+++ b/src/decide/orders.c
@@ -140,6 +140,15 @@
 	keep_answer(orders, order, answer);
 }
 
+void orders_set_claim(struct orders *orders, const char *key,
+		      enum order_claim claim)
+{
+	struct order *order = find(orders, key);
+
+	if (order)
+		order->claim = claim;
+}
+
 void orders_forget(struct orders *orders, const char *key)
 {
 	struct order *order = find(orders, key);
--- a/src/decide/orders.h
+++ b/src/decide/orders.h
@@ -84,6 +84,10 @@
 		   const struct order_answer *answer, int64_t memory_ms,
 		   int64_t now_ms);
 
+/** Notes what is known of the claim to a key; nothing if it is forgotten. */
+void orders_set_claim(struct orders *orders, const char *key,
+		      enum order_claim claim);
+
 /** Forgets a key, as if it had never been taken. */
 void orders_forget(struct orders *orders, const char *key);
 
--- a/src/document/document.c
+++ b/src/document/document.c
@@ -4,67 +4,26 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NAME(type, member, key_, required_, help_)                              \
-	{                                                                       \
-		.key = key_, .kind = FIELD_NAME,                                \
-		.offset = offsetof(struct type, member), .required = required_, \
-		.min = (required_) ? 1 : 0, .max = 64, .help = help_            \
-	}
-#define TEXT(type, member, key_, bytes_, help_)                         \
-	{                                                               \
-		.key = key_, .kind = FIELD_TEXT,                        \
-		.offset = offsetof(struct type, member), .max = bytes_, \
-		.help = help_                                           \
-	}
-#define U32(type, member, key_, min_, max_, fallback_, help_)         \
-	{                                                             \
-		.key = key_, .kind = FIELD_U32,                       \
-		.offset = offsetof(struct type, member), .min = min_, \
-		.max = max_, .fallback = fallback_, .help = help_     \
-	}
-#define BOOL(type, member, key_, fallback_, help_)       \
-	{                                                \
-		.key = key_, .kind = FIELD_BOOL,         \
-		.offset = offsetof(struct type, member), \
-		.fallback = fallback_, .help = help_     \
-	}
-#define LIST(type, member, count, key_, min_, max_, shape_, help_) \
-	{                                                          \
-		.key = key_, .kind = FIELD_OBJECTS,                \
-		.offset = offsetof(struct type, member),           \
-		.count_offset = offsetof(struct type, count),      \
-		.required = (min_) > 0, .min = min_, .max = max_,  \
-		.shape = shape_, .help = help_                     \
-	}
-#define SHAPE(type, fields_)                                           \
-	{                                                              \
-		.fields = fields_, .field_count = ARRAY_SIZE(fields_), \
-		.size = sizeof(struct type)                            \
-	}
+#include "base/shape_fields.h"
 
 static const struct field region_fields[] = {
-	NAME(doc_region, name, "name", true, "the region's name"),
-	{ .key = "failure_domains",
-	  .kind = FIELD_NAMES,
-	  .offset = offsetof(struct doc_region, failure_domains),
-	  .count_offset = offsetof(struct doc_region, failure_domain_count),
-	  .required = true,
-	  .min = 1,
-	  .max = 16,
-	  .help = "names of the region's failure domains" },
+	SHAPE_NAME(doc_region, name, "name", true, "the region's name"),
+	SHAPE_LIST(doc_region, failure_domains, failure_domain_count,
+		   "failure_domains", FIELD_NAMES, 1, 16, NULL,
+		   "names of the region's failure domains"),
 };
-static const struct shape region_shape = SHAPE(doc_region, region_fields);
+static const struct shape region_shape = SHAPE_OF(doc_region, region_fields);
 
 static const struct field link_fields[] = {
-	NAME(doc_link, from, "from", true, "one region"),
-	NAME(doc_link, to, "to", true, "the other region"),
-	U32(doc_link, mbit_per_s, "mbit_per_s", 1, 10000000, 4000,
-	    "capacity each way, in Mbit/s"),
+	SHAPE_NAME(doc_link, from, "from", true, "one region"),
+	SHAPE_NAME(doc_link, to, "to", true, "the other region"),
+	SHAPE_U32(doc_link, mbit_per_s, "mbit_per_s", 1, 10000000, 4000,
+		  "capacity each way, in Mbit/s"),
 };
-static const struct shape link_shape = SHAPE(doc_link, link_fields);
+static const struct shape link_shape = SHAPE_OF(doc_link, link_fields);
 
 static const struct field service_fields[] = {
-	NAME(doc_service, name, "name", true, "the service's name"),
+	SHAPE_NAME(doc_service, name, "name", true, "the service's name"),
 	{ .key = "path_prefix",
 	  .kind = FIELD_TEXT,
 	  .offset = offsetof(struct doc_service, path_prefix),
@@ -72,64 +31,62 @@
 	  .min = 2,
 	  .max = 64,
 	  .help = "requests under this path belong to the service" },
-	U32(doc_service, deadline_ms, "deadline_ms", 10, 600000, 5000,
-	    "time a request may take, in ms"),
-	U32(doc_service, attempts_max, "attempts_max", 1, 5, 3,
-	    "backend servers tried for one request, at most"),
-	U32(doc_service, retry_budget_permille, "retry_budget_permille", 0,
-	    PERMILLE, 100, "retries allowed, in thousandths of the requests"),
-	U32(doc_service, queue_max, "queue_max", 0, 10000, 64,
-	    "requests that may wait for a slot in one entry VM"),
-	U32(doc_service, body_bytes_max, "body_bytes_max", 0, 16777216, 1048576,
-	    "largest request body, in bytes"),
-	U32(doc_service, answer_bytes_max, "answer_bytes_max", 1, 67108864,
-	    4194304, "largest answer body, in bytes"),
-	U32(doc_service, order_memory_ms, "order_memory_ms", 60000, 86400000,
-	    3600000, "time an order's key is remembered, in ms"),
-	BOOL(doc_service, key_required, "key_required", true,
-	     "refuse non-idempotent requests without an Idempotency-Key"),
+	SHAPE_U32(doc_service, deadline_ms, "deadline_ms", 10, 600000, 5000,
+		  "time a request may take, in ms"),
+	SHAPE_U32(doc_service, attempts_max, "attempts_max", 1, 5, 3,
+		  "backend servers tried for one request, at most"),
+	SHAPE_U32(doc_service, retry_budget_permille, "retry_budget_permille",
+		  0, PERMILLE, 100,
+		  "retries allowed, in thousandths of the requests"),
+	SHAPE_U32(doc_service, queue_max, "queue_max", 0, 10000, 64,
+		  "requests that may wait for a slot in one entry VM"),
+	SHAPE_U32(doc_service, body_bytes_max, "body_bytes_max", 0, 16777216,
+		  1048576, "largest request body, in bytes"),
+	SHAPE_U32(doc_service, answer_bytes_max, "answer_bytes_max", 1,
+		  67108864, 4194304, "largest answer body, in bytes"),
+	SHAPE_U32(doc_service, order_memory_ms, "order_memory_ms", 60000,
+		  86400000, 3600000, "time an order's key is remembered, in ms"),
+	SHAPE_BOOL(doc_service, key_required, "key_required", true,
+		   "refuse non-idempotent requests without an Idempotency-Key"),
 };
-static const struct shape service_shape = SHAPE(doc_service, service_fields);
+static const struct shape service_shape = SHAPE_OF(doc_service, service_fields);
 
 static const struct field backend_fields[] = {
-	NAME(doc_backend, name, "name", true, "the backend server's name"),
-	NAME(doc_backend, service, "service", true, "the service it runs"),
-	NAME(doc_backend, failure_domain, "failure_domain", true,
-	     "where it stands"),
-	{ .key = "address",
-	  .kind = FIELD_ADDRESS,
-	  .offset = offsetof(struct doc_backend, address),
-	  .required = true,
-	  .min = 1,
-	  .max = 64,
-	  .help = "IP:port" },
-	U32(doc_backend, slots, "slots", 1, 10000, 1,
-	    "requests it runs at the same time"),
-	U32(doc_backend, connections, "connections", 1, 100000, 100,
-	    "connections it accepts"),
-	BOOL(doc_backend, leaving, "leaving", false,
-	     "true: it gets no new requests"),
+	SHAPE_NAME(doc_backend, name, "name", true, "the backend server's name"),
+	SHAPE_NAME(doc_backend, service, "service", true, "the service it runs"),
+	SHAPE_NAME(doc_backend, failure_domain, "failure_domain", true,
+		   "where it stands"),
+	SHAPE_ADDRESS(doc_backend, address, "address", true, "IP:port"),
+	SHAPE_U32(doc_backend, slots, "slots", 1, 10000, 1,
+		  "requests it runs at the same time"),
+	SHAPE_U32(doc_backend, connections, "connections", 1, 100000, 100,
+		  "connections it accepts"),
+	SHAPE_BOOL(doc_backend, leaving, "leaving", false,
+		   "true: it gets no new requests"),
 };
-static const struct shape backend_shape = SHAPE(doc_backend, backend_fields);
+static const struct shape backend_shape = SHAPE_OF(doc_backend, backend_fields);
 
 static const struct field share_fields[] = {
-	NAME(doc_share, to, "to", true, "the region that serves the share"),
-	U32(doc_share, permille, "permille", 0, PERMILLE, 0,
-	    "the share, in thousandths"),
+	SHAPE_NAME(doc_share, to, "to", true, "the region that serves the share"),
+	SHAPE_U32(doc_share, permille, "permille", 0, PERMILLE, 0,
+		  "the share, in thousandths"),
 };
-static const struct shape share_shape = SHAPE(doc_share, share_fields);
+static const struct shape share_shape = SHAPE_OF(doc_share, share_fields);
 
 static const struct field steering_fields[] = {
-	NAME(doc_steering, service, "service", true, "the service"),
-	NAME(doc_steering, from, "from", true, "the callers' region"),
-	LIST(doc_steering, shares, share_count, "shares", 1, DOCUMENT_REGIONS_MAX,
-	     &share_shape, "regions that serve them; the shares sum to 1000"),
-	U32(doc_steering, move_cap_permille, "move_cap_permille", 1, PERMILLE,
-	    50, "traffic that may move in one window, in thousandths"),
-	U32(doc_steering, window_ms, "window_ms", 100, 86400000, 10000,
-	    "the window of the cap, in ms"),
+	SHAPE_NAME(doc_steering, service, "service", true, "the service"),
+	SHAPE_NAME(doc_steering, from, "from", true, "the callers' region"),
+	SHAPE_LIST(doc_steering, shares, share_count, "shares", FIELD_OBJECTS,
+		   1, DOCUMENT_REGIONS_MAX, &share_shape,
+		   "regions that serve them; the shares sum to 1000"),
+	SHAPE_U32(doc_steering, move_cap_permille, "move_cap_permille", 1,
+		  PERMILLE, 50,
+		  "traffic that may move in one window, in thousandths"),
+	SHAPE_U32(doc_steering, window_ms, "window_ms", 100, 86400000, 10000,
+		  "the window of the cap, in ms"),
 };
-static const struct shape steering_shape = SHAPE(doc_steering, steering_fields);
+static const struct shape steering_shape =
+	SHAPE_OF(doc_steering, steering_fields);
 
 static const struct field document_fields[] = {
 	{ .key = "version",
@@ -139,30 +96,28 @@
 	  .min = 1,
 	  .max = 1ULL << 52,
 	  .help = "grows by one with each publication" },
-	NAME(document, change_id, "change_id", false,
-	     "identifies the publication; set by the publisher"),
-	TEXT(document, author, "author", 128, "who published it"),
-	TEXT(document, comment, "comment", 1024, "why it was published"),
-	U32(document, lookup_ttl_ms, "lookup_ttl_ms", 100, 600000, 2000,
-	    "time a caller may use a look-up answer, in ms"),
-	LIST(document, regions, region_count, "regions", 1,
-	     DOCUMENT_REGIONS_MAX, &region_shape, "the regions"),
-	LIST(document, links, link_count, "links", 0, 2016, &link_shape,
-	     "links between regions"),
-	LIST(document, services, service_count, "services", 1, 64,
-	     &service_shape, "the services"),
-	LIST(document, backends, backend_count, "backends", 0, 4096,
-	     &backend_shape, "the backend servers"),
-	LIST(document, steering, steering_count, "steering", 0, 4096,
-	     &steering_shape, "which regions serve whose callers"),
-	{ .key = "leaving_entries",
-	  .kind = FIELD_NAMES,
-	  .offset = offsetof(struct document, leaving_entries),
-	  .count_offset = offsetof(struct document, leaving_entry_count),
-	  .max = 1024,
-	  .help = "entry VMs that look-up answers must leave out" },
+	SHAPE_NAME(document, change_id, "change_id", false,
+		   "identifies the publication; set by the publisher"),
+	SHAPE_TEXT(document, author, "author", false, 128, "who published it"),
+	SHAPE_TEXT(document, comment, "comment", false, 1024,
+		   "why it was published"),
+	SHAPE_U32(document, lookup_ttl_ms, "lookup_ttl_ms", 100, 600000, 2000,
+		  "time a caller may use a look-up answer, in ms"),
+	SHAPE_LIST(document, regions, region_count, "regions", FIELD_OBJECTS, 1,
+		   DOCUMENT_REGIONS_MAX, &region_shape, "the regions"),
+	SHAPE_LIST(document, links, link_count, "links", FIELD_OBJECTS, 0, 2016,
+		   &link_shape, "links between regions"),
+	SHAPE_LIST(document, services, service_count, "services", FIELD_OBJECTS,
+		   1, 64, &service_shape, "the services"),
+	SHAPE_LIST(document, backends, backend_count, "backends", FIELD_OBJECTS,
+		   0, 4096, &backend_shape, "the backend servers"),
+	SHAPE_LIST(document, steering, steering_count, "steering", FIELD_OBJECTS,
+		   0, 4096, &steering_shape, "which regions serve whose callers"),
+	SHAPE_LIST(document, leaving_entries, leaving_entry_count,
+		   "leaving_entries", FIELD_NAMES, 0, 1024, NULL,
+		   "entry VMs that look-up answers must leave out"),
 };
-const struct shape document_shape = SHAPE(document, document_fields);
+const struct shape document_shape = SHAPE_OF(document, document_fields);
 
 int document_region_index(const struct document *doc, const char *name)
 {
--- a/src/entry/claims.c
+++ b/src/entry/claims.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/ring.h"
+#include "entry/order.h"
 
 #define RING_SLOTS 4096
 #define BATCH_MAX 32
@@ -15,6 +16,7 @@
 #define KEY_BYTES (ORDER_KEY_BYTES_MAX + 64)
 #define VALUE_BYTES 256
 #define PROBE_PERIOD_MS 1000
+#define EXPIRE_PERIOD_MS 1000
 
 /* A claim outlives every memory of its key by as much again. */
 #define LEASE_MEMORIES 2
@@ -40,6 +42,7 @@
 	uint64_t lease;
 	int64_t lease_until_ms;
 	int64_t probed_ms;
+	int64_t expired_ms;
 	atomic_uint_fast64_t nonce;
 };
 
@@ -188,6 +191,17 @@
 	set_unclaimed(claims, false);
 }
 
+/** About once a second, forgets orders whose memory has ended. */
+static void expire_orders(struct claims *claims)
+{
+	int64_t now_ms = clock_now_ms(&claims->entry->clock);
+
+	if (now_ms - claims->expired_ms < EXPIRE_PERIOD_MS)
+		return;
+	claims->expired_ms = now_ms;
+	order_expire(claims->entry);
+}
+
 static void *run(void *context)
 {
 	struct claims *claims = context;
@@ -196,6 +210,7 @@
 
 	for (;;) {
 		count = 0;
+		expire_orders(claims);
 		batch[0] = ring_pop(claims->ring, IDLE_WAIT_MS);
 		if (!batch[0]) {
 			if (claims->stopping)
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -7,7 +7,8 @@
 /**
  * @file
  * Claims to order keys in the store: whoever creates a key's claim is the only
- * one that may run the order. One thread writes them, several to a call.
+ * one that may run the order. One thread writes them, several to a call; it
+ * also forgets orders whose memory has ended.
  */
 
 enum claims_result {
--- a/src/entry/order.c
+++ b/src/entry/order.c
@@ -141,12 +141,9 @@
 		.body = from->body,
 		.body_bytes = from->body_bytes,
 	};
-	const struct order *order;
 
 	pthread_mutex_lock(&entry->order_lock);
-	order = orders_find(entry->orders, keyed->key);
-	if (order)
-		((struct order *)order)->claim = claim;
+	orders_set_claim(entry->orders, keyed->key, claim);
 	orders_finish(entry->orders, keyed->key, &answer,
 		      exchange->service->order_memory_ms,
 		      clock_now_ms(&entry->clock));
--- a/src/entry/probe.c
+++ b/src/entry/probe.c
@@ -7,7 +7,6 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "decide/rank.h"
-#include "entry/order.h"
 
 #define HEALTH_PATH "/health"
 #define PROBE_TIMEOUT_MS 300
@@ -109,7 +108,6 @@
 			due_ms = clock_now_ms(&probe->entry->clock) +
 				 probe->entry->settings.probe_ms;
 			probe_all(probe);
-			order_expire(probe->entry);
 		}
 		clock_nanosleep(CLOCK_MONOTONIC, 0, &step, NULL);
 	}
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -4,84 +4,54 @@
 #include <string.h>
 
 #include "base/log.h"
-
-#define PLACE(member) .offset = offsetof(struct settings, member)
-#define NAME(member, key_, help_)                                    \
-	{                                                            \
-		.key = key_, .kind = FIELD_NAME, PLACE(member),      \
-		.required = true, .min = 1, .max = 64, .help = help_ \
-	}
-#define ADDRESS(member, key_, help_)                                 \
-	{                                                            \
-		.key = key_, .kind = FIELD_ADDRESS, PLACE(member),   \
-		.required = true, .min = 1, .max = 64, .help = help_ \
-	}
-#define TEXT(member, key_, help_)                                          \
-	{                                                                  \
-		.key = key_, .kind = FIELD_TEXT, PLACE(member), .max = 64, \
-		.help = help_                                              \
-	}
-#define U32(member, key_, min_, max_, fallback_, help_)                     \
-	{                                                                   \
-		.key = key_, .kind = FIELD_U32, PLACE(member), .min = min_, \
-		.max = max_, .fallback = fallback_, .help = help_           \
-	}
+#include "base/shape_fields.h"
 
 static const struct field settings_fields[] = {
-	NAME(name, "name", "this entry VM's name, unique in the fleet"),
-	NAME(failure_domain, "failure_domain", "where this VM stands"),
-	ADDRESS(listen, "listen", "IP:port for callers and operators"),
-	{ .key = "address",
-	  .kind = FIELD_ADDRESS,
-	  PLACE(address),
-	  .max = 64,
-	  .help = "IP:port that callers use; as \"listen\" if absent" },
-	ADDRESS(peer_listen, "peer_listen", "IP:port for other entry VMs"),
-	{ .key = "peer_address",
-	  .kind = FIELD_ADDRESS,
-	  PLACE(peer_address),
-	  .max = 64,
-	  .help = "IP:port that peers use; as \"peer_listen\" if absent" },
-	TEXT(peer_public_key, "peer_public_key",
-	     "the fleet's public key, from \"auburnreachctl keygen\""),
-	TEXT(peer_secret_key, "peer_secret_key", "the fleet's secret key"),
-	{ .key = "seeds",
-	  .kind = FIELD_ADDRESSES,
-	  PLACE(seeds),
-	  .count_offset = offsetof(struct settings, seed_count),
-	  .max = 1024,
-	  .help = "peer addresses to begin with" },
-	ADDRESS(store, "store", "IP:port of the platform's store"),
-	TEXT(log_level, "log_level", "error, warn, info or debug"),
-	U32(store_timeout_ms, "store_timeout_ms", 10, 60000, 1000,
-	    "longest time of one call to the store, in ms"),
-	U32(threads, "threads", 4, 2000, 64,
-	    "callers' connections served at the same time"),
-	U32(keep_alive_ms, "keep_alive_ms", 0, 600000, 2000,
-	    "time an idle connection of a caller is kept, in ms"),
-	U32(heartbeat_ms, "heartbeat_ms", 50, 10000, 1000,
-	    "time between heartbeats to peers, in ms"),
-	U32(probe_ms, "probe_ms", 100, 60000, 1000,
-	    "time between probes of a backend server, in ms"),
-	U32(orders_max, "orders_max", 100, 10000000, 100000,
-	    "order keys remembered"),
-	U32(order_answer_bytes_max, "order_answer_bytes_max", 0, 1073741824,
-	    8388608, "bytes of order answers kept for repeats"),
-	U32(leave_spread_ms, "leave_spread_ms", 0, 600000, 4000,
-	    "time for peers to hear of a planned stop, in ms"),
-	U32(leave_max_ms, "leave_max_ms", 100, 3600000, 60000,
-	    "longest time of a planned stop, in ms"),
-	{ .key = "test_seams",
-	  .kind = FIELD_BOOL,
-	  PLACE(test_seams),
-	  .help = "true: tests may cut messages between peers" },
+	SHAPE_NAME(settings, name, "name", true,
+		   "this entry VM's name, unique in the fleet"),
+	SHAPE_NAME(settings, failure_domain, "failure_domain", true,
+		   "where this VM stands"),
+	SHAPE_ADDRESS(settings, listen, "listen", true,
+		      "IP:port for callers and operators"),
+	SHAPE_ADDRESS(settings, address, "address", false,
+		      "IP:port that callers use; as \"listen\" if absent"),
+	SHAPE_ADDRESS(settings, peer_listen, "peer_listen", true,
+		      "IP:port for other entry VMs"),
+	SHAPE_ADDRESS(settings, peer_address, "peer_address", false,
+		      "IP:port that peers use; as \"peer_listen\" if absent"),
+	SHAPE_TEXT(settings, peer_public_key, "peer_public_key", false, 64,
+		   "the fleet's public key, from \"auburnreachctl keygen\""),
+	SHAPE_TEXT(settings, peer_secret_key, "peer_secret_key", false, 64,
+		   "the fleet's secret key"),
+	SHAPE_LIST(settings, seeds, seed_count, "seeds", FIELD_ADDRESSES, 0,
+		   1024, NULL, "peer addresses to begin with"),
+	SHAPE_ADDRESS(settings, store, "store", true,
+		      "IP:port of the platform's store"),
+	SHAPE_TEXT(settings, log_level, "log_level", false, 64,
+		   "error, warn, info or debug"),
+	SHAPE_U32(settings, store_timeout_ms, "store_timeout_ms", 10, 60000,
+		  1000, "longest time of one call to the store, in ms"),
+	SHAPE_U32(settings, threads, "threads", 4, 2000, 64,
+		  "callers' connections served at the same time"),
+	SHAPE_U32(settings, keep_alive_ms, "keep_alive_ms", 0, 600000, 2000,
+		  "time an idle connection of a caller is kept, in ms"),
+	SHAPE_U32(settings, heartbeat_ms, "heartbeat_ms", 50, 10000, 1000,
+		  "time between heartbeats to peers, in ms"),
+	SHAPE_U32(settings, probe_ms, "probe_ms", 100, 60000, 1000,
+		  "time between probes of a backend server, in ms"),
+	SHAPE_U32(settings, orders_max, "orders_max", 100, 10000000, 100000,
+		  "order keys remembered"),
+	SHAPE_U32(settings, order_answer_bytes_max, "order_answer_bytes_max", 0,
+		  1073741824, 8388608, "bytes of order answers kept for repeats"),
+	SHAPE_U32(settings, leave_spread_ms, "leave_spread_ms", 0, 600000, 4000,
+		  "time for peers to hear of a planned stop, in ms"),
+	SHAPE_U32(settings, leave_max_ms, "leave_max_ms", 100, 3600000, 60000,
+		  "longest time of a planned stop, in ms"),
+	SHAPE_BOOL(settings, test_seams, "test_seams", false,
+		   "true: tests may cut messages between peers"),
 };
 
-const struct shape settings_shape = {
-	.fields = settings_fields,
-	.field_count = ARRAY_SIZE(settings_fields),
-	.size = sizeof(struct settings),
-};
+const struct shape settings_shape = SHAPE_OF(settings, settings_fields);
 
 #define KEY_TEXT_BYTES 40
 
--- a/src/peer/gossip.c
+++ b/src/peer/gossip.c
@@ -33,6 +33,8 @@
 
 	if (!peer->cut)
 		return false;
+	if (!*domain)
+		return true; /* it may be one that is cut */
 	part = g_strdup_printf(",%s,", domain);
 	cut = strstr(peer->cut, part);
 	g_free(part);
@@ -205,13 +207,19 @@
 	heartbeat_clear(&heartbeat);
 }
 
-/** Puts the own domain's present state into the list of domains. */
+/**
+ * Puts the own domain's present state into the list of domains. Not while this
+ * VM joins: what it knows of its domain then would replace, as the newest
+ * digest, what the others know.
+ */
 static void renew_own_domain(struct peer *peer, int64_t now_ms)
 {
 	const struct member *self = member_self(peer->table);
 	struct domain digest;
 	struct domain *own;
 
+	if (now_ms - peer->started_ms < JOIN_MS)
+		return;
 	memset(&digest, 0, sizeof(digest));
 	memcpy(digest.name, self->failure_domain, sizeof(digest.name));
 	digest.stamp = (uint64_t)clock_unix_ms(&clock_system);
@@ -338,7 +346,8 @@
 		if (domain_tick(&peer->domains, now_ms))
 			peer->view_stale = true;
 		peer->view_stale = true;
-		renew_own_domain(peer, now_ms);
+		if (member_rank(peer->table, "delegate") < DELEGATES)
+			renew_own_domain(peer, now_ms);
 		send_heartbeat(peer, FANOUT);
 	}
 	if (now_ms >= peer->delegate_at_ms) {
--- a/src/peer/peer_internal.h
+++ b/src/peer/peer_internal.h
@@ -69,7 +69,10 @@
 void peer_message_send(struct peer *peer, const Wire__Envelope *envelope,
 		       const char *address, const char *domain);
 
-/** @return whether the test seam drops messages of a domain. */
+/**
+ * @return whether the test seam drops messages of a domain; of an unknown one,
+ * "", it drops all while it is on.
+ */
 bool peer_is_cut(const struct peer *peer, const char *domain);
 
 /** Acts on one message. */
--- a/test/fuzz/document_fuzz.c
+++ b/test/fuzz/document_fuzz.c
@@ -14,8 +14,7 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) /* NOLINT */
 {
 	struct shape_errors errors = shape_errors_new();
-	struct document *doc =
-		document_parse((const char *)data, size, &errors);
+	struct document *doc = document_parse((const char *)data, size, &errors);
 	json_t *value, *differences;
 
 	if (doc) {
