--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 JOBS ?= $(shell nproc)
-SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v 'pb-c')
+SOURCES = $(shell git ls-files -c -o --exclude-standard '*.c' '*.h' | grep -v 'pb-c')
 
 all: ## build everything
 	@cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=$(TYPE) -DSANITIZE=$(SANITIZE) >$(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
