perf(log): let the writer look for lines instead of waking it by each

Problem: each log line woke the writer's thread, which costs the request that logs a system call and often its core.

Solution: the writer looks every 10 ms and writes all there is.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -8,12 +8,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
+#include "base/clock.h"
 #include "base/ring.h"
 
 #define RING_SLOTS 16384
 #define LINE_BYTES_MAX 500
-#define IDLE_WAIT_MS 200
+/* The writer looks for lines at this pace instead of being woken by each: a
+ * wake-up costs the request that logs. */
+#define IDLE_SLEEP_MS 10
 
 struct line {
 	enum log_level level;
@@ -48,11 +52,12 @@
 
 static void *write_lines(void *context)
 {
+	const struct timespec idle = { 0, IDLE_SLEEP_MS * NS_PER_MS };
 	struct line *line;
 
 	(void)context;
 	for (;;) {
-		line = ring_pop(lines, IDLE_WAIT_MS);
+		line = ring_pop(lines, 0);
 		if (line) {
 			log4c_category_log(category, priorities[line->level],
 					   "%s", line->text);
@@ -61,6 +66,7 @@
 		}
 		if (stopping && !ring_size(lines))
 			break;
+		clock_nanosleep(CLOCK_MONOTONIC, 0, &idle, NULL);
 	}
 	return NULL;
 }
