--- a/src/base/log.c
+++ b/src/base/log.c
@@ -78,7 +78,7 @@
 	if (log4c_init())
 		fprintf(stderr, "log: configuration file was not read\n");
 	category = log4c_category_get("auburnreach");
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("stdout");
 	log4c_appender_set_layout(appender, log4c_layout_get("dated_r"));
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_priority(category, priorities[level]);
--- /dev/null
+++ b/src/decide/outcome.c
@@ -0,0 +1,66 @@
+#include "decide/outcome.h"
+
+#include "base/attributes.h"
+
+enum {
+	STATUS_OTHER_SERVER = 421,
+	STATUS_FAILURE_FIRST = 500,
+	STATUS_BAD_GATEWAY = 502,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_GATEWAY_TIMEOUT = 504,
+};
+
+enum attempt_end outcome_of_answer(const struct answer_facts *facts)
+{
+	if (facts->status == STATUS_OTHER_SERVER)
+		return ATTEMPT_OTHER_SERVER;
+	if (facts->not_run)
+		return ATTEMPT_REFUSED;
+	if (!facts->stamped || facts->encoded)
+		return ATTEMPT_INVALID;
+	return facts->status >= STATUS_FAILURE_FIRST ? ATTEMPT_FAILED :
+						       ATTEMPT_ANSWERED;
+}
+
+enum verdict outcome_verdict(enum attempt_end end)
+{
+	switch (end) {
+	case ATTEMPT_REFUSED:
+	case ATTEMPT_OTHER_SERVER:
+	case ATTEMPT_NOT_CONNECTED:
+		return VERDICT_NOT_RUN;
+	case ATTEMPT_ANSWERED:
+	case ATTEMPT_FAILED:
+		return VERDICT_RAN;
+	default:
+		return VERDICT_MAY_HAVE_RUN;
+	}
+}
+
+bool outcome_blames_server(enum attempt_end end)
+{
+	return end != ATTEMPT_ANSWERED && end != ATTEMPT_REFUSED;
+}
+
+const char *outcome_text(enum attempt_end end)
+{
+	static const char *const texts[] = {
+		[ATTEMPT_ANSWERED] = "answered",
+		[ATTEMPT_FAILED] = "failed",
+		[ATTEMPT_REFUSED] = "refused",
+		[ATTEMPT_OTHER_SERVER] = "other-server",
+		[ATTEMPT_NOT_CONNECTED] = "not-connected",
+		[ATTEMPT_BROKEN] = "broken",
+		[ATTEMPT_INVALID] = "invalid",
+		[ATTEMPT_TIMED_OUT] = "timed-out",
+	};
+
+	return texts[end];
+}
+
+uint16_t outcome_status(enum verdict worst, bool timed_out)
+{
+	if (worst == VERDICT_NOT_RUN)
+		return STATUS_UNAVAILABLE;
+	return timed_out ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+}
--- /dev/null
+++ b/src/fleet/config.c
@@ -0,0 +1,156 @@
+#include "fleet/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+struct config *config_new(uint32_t service_count, uint32_t route_count)
+{
+	struct config *config = calloc(1, sizeof(*config));
+
+	if (!config)
+		return NULL;
+	config->references = 1;
+	config->services = calloc(service_count + 1, sizeof(struct service));
+	config->routes = calloc(route_count + 1, sizeof(struct route));
+	if (!config->services || !config->routes) {
+		config_release(config);
+		return NULL;
+	}
+	config->service_count = service_count;
+	config->route_count = route_count;
+	return config;
+}
+
+static int compare_prefixes(const void *left, const void *right)
+{
+	const struct route *a = left;
+	const struct route *b = right;
+
+	if (a->prefix_bytes != b->prefix_bytes)
+		return a->prefix_bytes < b->prefix_bytes ? 1 : -1;
+	return strcmp(a->prefix, b->prefix);
+}
+
+static const char *check_route(const struct route *route)
+{
+	uint64_t weight = 0;
+	uint32_t i;
+
+	if (!route->host || !*route->host)
+		return "a route has no host";
+	if (!route->prefix || *route->prefix != '/' ||
+	    route->prefix[route->prefix_bytes - 1] != '/')
+		return "a prefix does not begin and end with a slash";
+	if (!route->timeout_ms)
+		return "a route has no timeout";
+	if (!route->attempts_max)
+		return "a route allows no attempt";
+	if (!route->part_count)
+		return "a route has no service";
+	for (i = 0; i < route->part_count; i++) {
+		if (!route->parts[i].service)
+			return "a route names an unknown service";
+		weight += route->parts[i].weight;
+	}
+	return weight ? NULL : "the weights of a route add up to nothing";
+}
+
+const char *config_finish(struct config *config)
+{
+	const char *problem;
+	uint32_t i;
+
+	for (i = 0; i < config->route_count; i++) {
+		struct route *route = &config->routes[i];
+
+		route->prefix_bytes =
+			route->prefix ? (uint32_t)strlen(route->prefix) : 0;
+		problem = check_route(route);
+		if (problem)
+			return problem;
+	}
+	qsort(config->routes, config->route_count, sizeof(struct route),
+	      compare_prefixes);
+	return NULL;
+}
+
+struct config *config_hold(struct config *config)
+{
+	config->references++;
+	return config;
+}
+
+static void route_clear(struct route *route)
+{
+	uint32_t i;
+
+	free(route->name);
+	free(route->host);
+	free(route->prefix);
+	free(route->parts);
+	for (i = 0; i < route->home_region_count; i++)
+		free(route->home_regions[i]);
+	free(route->home_regions);
+}
+
+void config_release(struct config *config)
+{
+	uint32_t i;
+
+	if (!config || --config->references)
+		return;
+	for (i = 0; i < config->service_count; i++) {
+		free(config->services[i].name);
+		free(config->services[i].health_path);
+	}
+	for (i = 0; i < config->route_count; i++)
+		route_clear(&config->routes[i]);
+	free(config->services);
+	free(config->routes);
+	free(config);
+}
+
+const struct service *config_service(const struct config *config,
+				     const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->service_count; i++)
+		if (!strcmp(config->services[i].name, name))
+			return &config->services[i];
+	return NULL;
+}
+
+const struct route *config_route(const struct config *config, const char *host,
+				 const char *path)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->route_count; i++) {
+		const struct route *route = &config->routes[i];
+
+		if (!strncmp(path, route->prefix, route->prefix_bytes) &&
+		    !strcasecmp(host, route->host))
+			return route;
+	}
+	return NULL;
+}
+
+const struct route_part *route_part_for(const struct route *route,
+					uint64_t hash)
+{
+	uint64_t total = 0;
+	uint64_t point;
+	uint32_t i;
+
+	for (i = 0; i < route->part_count; i++)
+		total += route->parts[i].weight;
+	point = hash % total;
+	for (i = 0; i + 1 < route->part_count; i++) {
+		if (point < route->parts[i].weight)
+			break;
+		point -= route->parts[i].weight;
+	}
+	return &route->parts[i];
+}
--- /dev/null
+++ b/src/fleet/topology.c
@@ -0,0 +1,15 @@
+#include "fleet/topology.h"
+
+#include <glib.h>
+#include <string.h>
+
+const char *topology_region(const struct topology *topology,
+			    const char *failure_domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < topology->domain_count; i++)
+		if (!strcmp(topology->domains[i].name, failure_domain))
+			return g_intern_string(topology->domains[i].region);
+	return NULL;
+}
--- /dev/null
+++ b/src/fleet/topology.h
@@ -0,0 +1,26 @@
+#ifndef FLEET_TOPOLOGY_H
+#define FLEET_TOPOLOGY_H
+
+#include <stdint.h>
+
+/**
+ * @file
+ * Failure domains and their regions. Names are interned: equal names are equal
+ * pointers.
+ */
+
+struct topology_domain {
+	char *name;
+	char *region;
+};
+
+struct topology {
+	struct topology_domain *domains;
+	uint32_t domain_count;
+};
+
+/** @return the interned name of a failure domain's region, or NULL. */
+const char *topology_region(const struct topology *topology,
+			    const char *failure_domain);
+
+#endif
--- /dev/null
+++ b/src/fleet/vms.c
@@ -0,0 +1,103 @@
+#include "fleet/vms.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "base/shape.h"
+
+struct vms {
+	const struct topology *topology;
+	GPtrArray *all;
+};
+
+static void vm_free(gpointer data)
+{
+	struct vm *vm = data;
+
+	free(vm->name);
+	free(vm->address);
+	g_free(vm);
+}
+
+struct vms *vms_new(const struct topology *topology)
+{
+	struct vms *vms = g_new0(struct vms, 1);
+
+	vms->topology = topology;
+	vms->all = g_ptr_array_new_with_free_func(vm_free);
+	return vms;
+}
+
+void vms_free(struct vms *vms)
+{
+	if (!vms)
+		return;
+	g_ptr_array_unref(vms->all);
+	g_free(vms);
+}
+
+char *vms_entry_text(const char *address, const char *failure_domain)
+{
+	json_t *root = json_pack("{s:s,s:s}", "address", address,
+				 "failure_domain", failure_domain);
+	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+
+	json_decref(root);
+	return text;
+}
+
+static bool remove_named(struct vms *vms, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < vms->all->len; i++) {
+		const struct vm *vm = g_ptr_array_index(vms->all, i);
+
+		if (strcmp(vm->name, name))
+			continue;
+		g_ptr_array_remove_index_fast(vms->all, i);
+		return true;
+	}
+	return false;
+}
+
+void vms_put(struct vms *vms, const char *name, const char *text, size_t bytes)
+{
+	json_t *root = json_loadb(text, bytes, 0, NULL);
+	const char *address = NULL;
+	const char *domain = NULL;
+	struct vm *vm;
+
+	if (json_unpack(root, "{s:s,s:s}", "address", &address,
+			"failure_domain", &domain) ||
+	    !shape_is_address(address)) {
+		log_warn("vms", "entry cannot be read vm=%s", name);
+		goto out;
+	}
+	if (!remove_named(vms, name))
+		log_info("vms", "VM has joined vm=%s domain=%s address=%s",
+			 name, domain, address);
+	vm = g_new0(struct vm, 1);
+	vm->name = strdup(name);
+	vm->address = strdup(address);
+	vm->failure_domain = g_intern_string(domain);
+	vm->region = topology_region(vms->topology, domain);
+	vm->hash = XXH3_64bits(name, strlen(name));
+	g_ptr_array_add(vms->all, vm);
+out:
+	json_decref(root);
+}
+
+void vms_remove(struct vms *vms, const char *name)
+{
+	if (remove_named(vms, name))
+		log_info("vms", "VM has left vm=%s", name);
+}
+
+const GPtrArray *vms_all(const struct vms *vms)
+{
+	return vms->all;
+}
--- /dev/null
+++ b/src/kv/kv_client.c
@@ -0,0 +1,176 @@
+#include "kv/kv_client.h"
+
+#include <event2/buffer.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "net/http_stream.h"
+
+/* A larger answer cannot come from the store: a page holds about 1 MB of
+ * values, a third more in base64. */
+#define ANSWER_BYTES_MAX (4 * 1024 * 1024)
+
+struct kv_line {
+	struct event_base *base;
+	struct sockaddr_in address;
+	char host[64];
+	struct http_stream *stream;
+	struct event *timeout;
+	struct evbuffer *body;
+	uint16_t status;
+	bool keep_alive;
+	kv_done done;
+	void *context;
+};
+
+static void disconnect(struct kv_line *line)
+{
+	http_stream_free(line->stream);
+	line->stream = NULL;
+}
+
+/* `done` may send the next call or free the line. */
+static void finish(struct kv_line *line, uint16_t status)
+{
+	kv_done done = line->done;
+	struct evbuffer *body = line->body;
+
+	if (!done)
+		return;
+	if (!status)
+		counter_add(COUNTER_STORE_ERRORS, 1);
+	line->done = NULL;
+	evtimer_del(line->timeout);
+	line->body = evbuffer_new();
+	done(line->context, status, (const char *)evbuffer_pullup(body, -1),
+	     evbuffer_get_length(body));
+	evbuffer_free(body);
+}
+
+static void on_head(void *context, const struct http_head *head)
+{
+	struct kv_line *line = context;
+
+	line->status = head->status;
+	line->keep_alive = head->keep_alive;
+}
+
+static void on_body(void *context, const uint8_t *data, size_t bytes)
+{
+	struct kv_line *line = context;
+
+	evbuffer_add(line->body, data, bytes);
+	if (evbuffer_get_length(line->body) <= ANSWER_BYTES_MAX)
+		return;
+	disconnect(line);
+	finish(line, KV_STATUS_NONE);
+}
+
+static void on_complete(void *context)
+{
+	struct kv_line *line = context;
+
+	if (!line->keep_alive)
+		disconnect(line);
+	finish(line, line->status);
+}
+
+static void on_ended(void *context, enum http_end end)
+{
+	struct kv_line *line = context;
+
+	(void)end;
+	disconnect(line);
+	finish(line, KV_STATUS_NONE);
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *context)
+{
+	struct kv_line *line = context;
+
+	(void)fd;
+	(void)what;
+	disconnect(line);
+	finish(line, KV_STATUS_NONE);
+}
+
+static const struct http_stream_events line_events = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.ended = on_ended,
+};
+
+struct kv_line *kv_line_new(struct event_base *base,
+			    const struct sockaddr_in *address)
+{
+	struct kv_line *line = calloc(1, sizeof(*line));
+
+	if (!line)
+		return NULL;
+	line->base = base;
+	line->address = *address;
+	line->timeout = evtimer_new(base, on_timeout, line);
+	line->body = evbuffer_new();
+	evutil_inet_ntop(AF_INET, &address->sin_addr, line->host,
+			 sizeof(line->host));
+	return line;
+}
+
+void kv_line_free(struct kv_line *line)
+{
+	if (!line)
+		return;
+	disconnect(line);
+	event_free(line->timeout);
+	evbuffer_free(line->body);
+	free(line);
+}
+
+void kv_line_drop(struct kv_line *line)
+{
+	disconnect(line);
+	line->done = NULL;
+	evtimer_del(line->timeout);
+	evbuffer_drain(line->body, evbuffer_get_length(line->body));
+}
+
+bool kv_line_busy(const struct kv_line *line)
+{
+	return line->done != NULL;
+}
+
+void kv_line_send(struct kv_line *line, struct kv_call *call,
+		  uint32_t timeout_ms, kv_done done, void *context)
+{
+	const struct timeval limit = { timeout_ms / MS_PER_S,
+				       (timeout_ms % MS_PER_S) * 1000 };
+	struct evbuffer *output;
+
+	counter_add(COUNTER_STORE_CALLS, 1);
+	line->done = done;
+	line->context = context;
+	line->status = KV_STATUS_NONE;
+	evbuffer_drain(line->body, evbuffer_get_length(line->body));
+	evtimer_add(line->timeout, &limit);
+	if (!line->stream)
+		line->stream = http_stream_connect(line->base, &line->address,
+						   &line_events, line);
+	if (!line->stream)
+		goto out; /* the timeout reports it */
+	http_stream_next(line->stream);
+	output = http_stream_output(line->stream);
+	evbuffer_add_printf(output,
+			    "%s %s HTTP/1.1\r\nHost: %s\r\n"
+			    "Content-Length: %zu\r\n",
+			    call->method, call->target->str, line->host,
+			    call->body->len);
+	if (call->body->len)
+		evbuffer_add_printf(output,
+				    "Content-Type: application/json\r\n");
+	evbuffer_add_printf(output, "\r\n%s", call->body->str);
+out:
+	kv_call_clear(call);
+}
--- /dev/null
+++ b/src/kv/mirror.h
@@ -0,0 +1,46 @@
+#ifndef KV_MIRROR_H
+#define KV_MIRROR_H
+
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+
+#include "base/clock.h"
+#include "kv/kv_defs.h"
+
+/**
+ * @file
+ * A local copy of all keys under one prefix of the store: a range, then
+ * watches from its revision. Survives lost history, cut watches, outages and
+ * pauses of this process. Runs on the loop's thread.
+ */
+
+struct mirror;
+
+struct mirror_events {
+	/** A key is new or changed. */
+	void (*put)(void *context, const struct kv_item *item);
+	void (*removed)(void *context, const char *key);
+	/** Every key that the store held is applied. */
+	void (*synced)(void *context);
+};
+
+/**
+ * @param prefix copied. @return a mirror that the caller frees, or NULL.
+ */
+struct mirror *mirror_new(struct event_base *base, const struct clock *clock,
+			  const struct sockaddr_in *store, const char *prefix,
+			  const struct mirror_events *events, void *context);
+
+void mirror_free(struct mirror *mirror);
+
+/** Drops the call in progress and reads everything anew. */
+void mirror_resync(struct mirror *mirror);
+
+/** @return time since the store last answered, in ms; -1: never. */
+int64_t mirror_age_ms(const struct mirror *mirror);
+
+/** @return whether a whole range was read since mirror_resync(). */
+bool mirror_synced(const struct mirror *mirror);
+
+#endif
--- /dev/null
+++ b/src/kv/presence.c
@@ -0,0 +1,186 @@
+#include "kv/presence.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "kv/kv_client.h"
+
+/* A VM that died leaves the directory after this time; three renewals may be
+ * lost before a VM that lives does. */
+#define LEASE_TTL_MS 3500
+#define RENEW_MS 1000
+#define CALL_TIMEOUT_MS 900
+
+struct presence {
+	struct kv_line *line;
+	struct event *timer;
+	char *key;
+	char *value;
+	uint64_t lease; /* 0: none */
+	bool written;	/* the key is bound to the lease */
+	bool withdrawn;
+	bool lost; /* the last call failed, and was logged */
+};
+
+static void schedule(struct presence *p, uint32_t ms)
+{
+	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
+
+	evtimer_add(p->timer, &delay);
+}
+
+static void note(struct presence *p, bool done, const char *call,
+		 uint16_t status)
+{
+	if (done == !p->lost)
+		return;
+	p->lost = !done;
+	if (done)
+		log_info("presence", "registration works again call=%s", call);
+	else
+		log_warn("presence", "registration failed call=%s status=%u",
+			 call, status);
+}
+
+static void on_written(void *context, uint16_t status, const char *body,
+		       size_t bytes)
+{
+	struct presence *p = context;
+
+	(void)body;
+	(void)bytes;
+	p->written = status == KV_STATUS_OK;
+	note(p, p->written, "put", status);
+	if (status == KV_STATUS_NOT_FOUND)
+		p->lease = 0;
+	schedule(p, p->written ? RENEW_MS : RENEW_MS / 2);
+}
+
+static void write_key(struct presence *p)
+{
+	struct kv_call call;
+
+	kv_call_put(&call, p->key, p->value, p->lease);
+	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_written, p);
+}
+
+static void on_granted(void *context, uint16_t status, const char *body,
+		       size_t bytes)
+{
+	struct presence *p = context;
+	uint32_t ttl_ms;
+	bool granted = status == KV_STATUS_OK &&
+		       kv_decode_lease(body, bytes, &p->lease, &ttl_ms);
+
+	note(p, granted, "lease", status);
+	if (!granted) {
+		p->lease = 0;
+		schedule(p, RENEW_MS / 2);
+		return;
+	}
+	log_info("presence", "lease granted lease=%" PRIu64 " ttl_ms=%" PRIu32,
+		 p->lease, ttl_ms);
+	write_key(p);
+}
+
+static void on_kept(void *context, uint16_t status, const char *body,
+		    size_t bytes)
+{
+	struct presence *p = context;
+
+	(void)body;
+	(void)bytes;
+	note(p, status == KV_STATUS_OK, "keep", status);
+	if (status == KV_STATUS_NOT_FOUND) {
+		log_warn("presence", "lease has lapsed lease=%" PRIu64,
+			 p->lease);
+		p->lease = 0;
+		p->written = false;
+		schedule(p, 0);
+		return;
+	}
+	schedule(p, status == KV_STATUS_OK ? RENEW_MS : RENEW_MS / 2);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	struct presence *p = context;
+	struct kv_call call;
+
+	(void)fd;
+	(void)what;
+	if (p->withdrawn || kv_line_busy(p->line))
+		return;
+	if (!p->lease) {
+		kv_call_lease(&call, LEASE_TTL_MS);
+		kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_granted, p);
+	} else if (!p->written) {
+		write_key(p);
+	} else {
+		kv_call_keep(&call, p->lease);
+		kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_kept, p);
+	}
+}
+
+struct presence *presence_new(struct event_base *base,
+			      const struct sockaddr_in *store, const char *key,
+			      const char *value)
+{
+	struct presence *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->line = kv_line_new(base, store);
+	p->timer = evtimer_new(base, on_timer, p);
+	p->key = strdup(key);
+	p->value = strdup(value);
+	schedule(p, 0);
+	return p;
+}
+
+static void on_withdrawn(void *context, uint16_t status, const char *body,
+			 size_t bytes)
+{
+	struct presence *p = context;
+	struct kv_call call;
+
+	(void)body;
+	(void)bytes;
+	log_info("presence", "registration withdrawn status=%u", status);
+	if (status == KV_STATUS_OK || status == KV_STATUS_NOT_FOUND)
+		return;
+	/* an answer that was lost: ending a lease twice does no harm */
+	kv_call_lease_end(&call, p->lease);
+	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_withdrawn, p);
+}
+
+void presence_withdraw(struct presence *p)
+{
+	struct kv_call call;
+
+	if (p->withdrawn)
+		return;
+	p->withdrawn = true;
+	evtimer_del(p->timer);
+	kv_line_drop(p->line);
+	if (!p->lease)
+		return;
+	kv_call_lease_end(&call, p->lease);
+	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_withdrawn, p);
+}
+
+void presence_free(struct presence *p)
+{
+	if (!p)
+		return;
+	kv_line_free(p->line);
+	event_free(p->timer);
+	free(p->key);
+	free(p->value);
+	free(p);
+}
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,15 @@
+#ifndef NET_LISTENER_H
+#define NET_LISTENER_H
+
+#include <event2/listener.h>
+
+#include "net/tcp.h"
+
+/** @file Listening sockets. */
+
+/** Listens on "IP:port". @return a listener, or NULL with a log line. */
+struct evconnlistener *listener_open(struct event_base *base,
+				     const char *address,
+				     evconnlistener_cb accepted, void *context);
+
+#endif
--- /dev/null
+++ b/src/net/tcp.c
@@ -0,0 +1,68 @@
+#include "net/tcp.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/log.h"
+
+/* A connection whose peer is silent this long is given up. Below the time in
+ * which a fleet must be in order again after connections went silent (4 s). */
+#define SILENCE_MAX_MS 3000
+#define PROBE_IDLE_S 1
+#define PROBE_GAP_S 1
+#define PROBE_COUNT 2
+
+bool tcp_parse(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+	char *end;
+	long port;
+
+	if (!colon || colon == text || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	errno = 0;
+	port = strtol(colon + 1, &end, 10);
+	if (errno || *end || end == colon + 1 || port < 1 || port > UINT16_MAX)
+		return false;
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+static void set_option(int fd, int level, int name, int value)
+{
+	if (setsockopt(fd, level, name, &value, sizeof(value)))
+		log_debug("net", "socket option was refused option=%d "
+			  "error=\"%s\"", name, strerror(errno));
+}
+
+void tcp_prepare(int fd)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_GAP_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MAX_MS);
+}
+
+int tcp_socket(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		log_warn("net", "socket cannot be opened error=\"%s\"",
+			 strerror(errno));
+	else
+		tcp_prepare(fd);
+	return fd;
+}
--- /dev/null
+++ b/src/proxy/attempt.c
@@ -0,0 +1,305 @@
+#include "proxy/attempt.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "platform/header_codec.h"
+#include "proxy/headers.h"
+#include "proxy/pool.h"
+
+/* A connection takes one round trip, 70 ms between regions; a lost opening
+ * packet is only sent again after a second. */
+#define CONNECT_TIMEOUT_MS 500
+/* Answers up to this size are held back until they are whole. */
+#define HOLD_BACK_BYTES (256 * 1024)
+
+struct attempt {
+	struct proxy *proxy;
+	struct server *server;
+	struct server_connection *connection;
+	const struct attempt_request *request;
+	const struct attempt_events *events;
+	void *context;
+	struct event *connect_timer;
+	struct evbuffer *headers;
+	struct evbuffer *body;
+	struct answer_meta meta; /* its pointers are not kept */
+	int64_t started_ms;
+	int64_t announced_bytes;
+	uint16_t status;
+	bool keep_alive;
+	bool reused;
+	bool sent;
+	bool answering; /* the head of our answer was read */
+	bool skipping;	/* an answer to an earlier request goes by */
+	bool skipped;
+	bool overflowed;
+	bool over;
+};
+
+static void close_connection(struct attempt *a)
+{
+	pool_discard(a->connection);
+	a->connection = NULL;
+}
+
+static void finish(struct attempt *a, enum attempt_end end)
+{
+	if (a->over)
+		return;
+	a->over = true;
+	load_finished(&a->server->load);
+	evtimer_del(a->connect_timer);
+	a->events->done(a->context, a, end);
+}
+
+static void send_request(struct attempt *a)
+{
+	struct evbuffer *out = http_stream_output(pool_stream(a->connection));
+	int64_t left_ms = a->request->deadline_ms - proxy_now_ms(a->proxy);
+	size_t body_bytes = evbuffer_get_length(a->request->body);
+
+	a->sent = true;
+	evbuffer_add_buffer_reference(out, a->request->head);
+	request_headers_encode(out, left_ms > 1 ? (uint32_t)left_ms : 1,
+			       a->server->id);
+	if (body_bytes)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body_bytes);
+	else if (strcmp(a->request->method, "GET") &&
+		 strcmp(a->request->method, "HEAD"))
+		evbuffer_add_printf(out, "Content-Length: 0\r\n");
+	evbuffer_add(out, "\r\n", 2);
+	if (body_bytes)
+		evbuffer_add_buffer_reference(out, a->request->body);
+	if (!strcmp(a->request->method, "HEAD"))
+		http_stream_expect_no_body(pool_stream(a->connection));
+	counter_add(COUNTER_ATTEMPTS, 1);
+}
+
+static void on_connected(void *context)
+{
+	struct attempt *a = context;
+
+	evtimer_del(a->connect_timer);
+	send_request(a);
+}
+
+static void on_connect_timeout(evutil_socket_t fd, short what, void *context)
+{
+	struct attempt *a = context;
+
+	(void)fd;
+	(void)what;
+	close_connection(a);
+	finish(a, ATTEMPT_NOT_CONNECTED);
+}
+
+/* A server that refuses may leave out the id of what it refuses. */
+static bool belongs_to_request(const struct attempt *a,
+			       const struct answer_meta *meta)
+{
+	if (!meta->id)
+		return meta->not_run;
+	return a->request->id && !strcmp(meta->id, a->request->id);
+}
+
+static void learn(struct attempt *a)
+{
+	int64_t now_ms = proxy_now_ms(a->proxy);
+	struct server *server = a->server;
+
+	if (a->meta.has_load)
+		load_report(&server->load, a->meta.running, a->meta.waiting,
+			    now_ms);
+	else if (a->meta.not_run && a->status == 503)
+		load_report(&server->load, server->load.slots,
+			    server->load.slots, now_ms);
+	if (a->meta.has_cold)
+		server->cold_until_ms = now_ms + a->meta.cold_left_ms;
+	a->meta.id = NULL;
+	a->meta.server_id = NULL;
+}
+
+static void on_head(void *context, const struct http_head *head)
+{
+	struct attempt *a = context;
+
+	a->meta = answer_meta_decode(head);
+	if (!belongs_to_request(a, &a->meta)) {
+		log_info("attempt", "answer to another request server=%s "
+			 "request=%s answer_to=%s status=%u", a->server->id,
+			 a->request->id, a->meta.id ? a->meta.id : "-",
+			 head->status);
+		a->skipping = a->meta.id && !head->until_close;
+		a->skipped = true;
+		if (!a->skipping) {
+			close_connection(a);
+			finish(a, ATTEMPT_INVALID);
+		}
+		return;
+	}
+	a->answering = true;
+	a->status = head->status;
+	a->keep_alive = head->keep_alive;
+	a->announced_bytes = head->content_length;
+	headers_copy_answer(head, a->headers);
+	learn(a);
+}
+
+static void on_body(void *context, const uint8_t *data, size_t bytes)
+{
+	struct attempt *a = context;
+
+	if (a->skipping)
+		return;
+	evbuffer_add(a->body, data, bytes);
+	if (a->overflowed) {
+		a->events->more(a->context, a);
+	} else if (evbuffer_get_length(a->body) > HOLD_BACK_BYTES &&
+		   a->meta.stamped && !a->meta.encoded) {
+		a->overflowed = true;
+		a->events->overflow(a->context, a);
+	}
+}
+
+static void on_complete(void *context)
+{
+	struct attempt *a = context;
+	struct answer_facts facts;
+	struct http_stream *stream = pool_stream(a->connection);
+
+	if (a->skipping) {
+		a->skipping = false;
+		http_stream_next(stream);
+		return;
+	}
+	facts.status = a->status;
+	facts.stamped = a->meta.stamped;
+	facts.not_run = a->meta.not_run;
+	facts.encoded = a->meta.encoded;
+	/* the rest of a body that the server has not read, or bytes behind the
+	 * answer, would be taken for the next message */
+	if (a->keep_alive && !a->skipped && !http_stream_pending(stream) &&
+	    !evbuffer_get_length(http_stream_output(stream)))
+		pool_give_back(a->connection, a->meta.idle_timeout_ms);
+	else
+		pool_discard(a->connection);
+	a->connection = NULL;
+	finish(a, outcome_of_answer(&facts));
+}
+
+static void on_ended(void *context, enum http_end end)
+{
+	struct attempt *a = context;
+
+	close_connection(a);
+	if (!a->sent)
+		finish(a, ATTEMPT_NOT_CONNECTED);
+	else if (end == HTTP_END_INVALID || end == HTTP_END_HEAD_TOO_LARGE)
+		finish(a, ATTEMPT_INVALID);
+	else
+		finish(a, ATTEMPT_BROKEN);
+}
+
+static const struct pool_events connection_events = {
+	on_connected, on_head, on_body, on_complete, on_ended,
+};
+
+struct attempt *attempt_start(struct proxy *proxy, struct server *server,
+			      const struct attempt_request *request,
+			      const struct attempt_events *events,
+			      void *context)
+{
+	const struct timeval limit = { 0, CONNECT_TIMEOUT_MS * 1000 };
+	struct attempt *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		return NULL;
+	a->proxy = proxy;
+	a->server = server_hold(server);
+	a->request = request;
+	a->events = events;
+	a->context = context;
+	a->started_ms = proxy_now_ms(proxy);
+	a->headers = evbuffer_new();
+	a->body = evbuffer_new();
+	a->connect_timer = evtimer_new(proxy->base, on_connect_timeout, a);
+	a->connection = pool_take(proxy, server, &connection_events, a,
+				  &a->reused);
+	if (!a->connection) {
+		a->over = true;
+		attempt_free(a);
+		return NULL;
+	}
+	load_sent(&server->load);
+	if (a->reused)
+		send_request(a);
+	else
+		evtimer_add(a->connect_timer, &limit);
+	return a;
+}
+
+void attempt_free(struct attempt *a)
+{
+	if (!a)
+		return;
+	if (!a->over)
+		load_finished(&a->server->load);
+	if (a->connection)
+		close_connection(a);
+	event_free(a->connect_timer);
+	evbuffer_free(a->headers);
+	evbuffer_free(a->body);
+	server_release(a->server);
+	free(a);
+}
+
+struct server *attempt_server(const struct attempt *a)
+{
+	return a->server;
+}
+
+bool attempt_sent(const struct attempt *a)
+{
+	return a->sent;
+}
+
+int64_t attempt_age_ms(const struct attempt *a)
+{
+	return proxy_now_ms(a->proxy) - a->started_ms;
+}
+
+bool attempt_reused(const struct attempt *a)
+{
+	return a->reused;
+}
+
+uint16_t attempt_status(const struct attempt *a)
+{
+	return a->status;
+}
+
+struct evbuffer *attempt_headers(struct attempt *a)
+{
+	return a->headers;
+}
+
+struct evbuffer *attempt_body(struct attempt *a)
+{
+	return a->body;
+}
+
+int64_t attempt_announced_bytes(const struct attempt *a)
+{
+	return a->announced_bytes;
+}
+
+void attempt_hold(struct attempt *a, bool hold)
+{
+	if (a->connection)
+		http_stream_hold(pool_stream(a->connection), hold);
+}
--- /dev/null
+++ b/src/proxy/belief.c
@@ -0,0 +1,219 @@
+#include "proxy/belief.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "kv/mirror.h"
+#include "platform/config_codec.h"
+#include "platform/server_codec.h"
+
+/* Servers of a failure domain that was evacuated are taken as cold for this
+ * long after it is taken back, if no service says otherwise. */
+#define COLD_AFTER_EVACUATION_MS 3000
+
+struct belief {
+	struct proxy *proxy;
+	struct mirror *operator_keys;
+	struct mirror *server_keys;
+	struct mirror *vm_keys;
+	bool operator_read;
+	bool servers_read;
+};
+
+static void put_config(struct proxy *proxy, const struct kv_item *item)
+{
+	struct config *config;
+	const char *problem;
+
+	config = config_decode(item->value, item->value_bytes, &problem);
+	if (!config) {
+		counter_add(COUNTER_DOCUMENTS_REFUSED, 1);
+		log_warn("config", "configuration is refused revision=%" PRIu64
+			 " why=\"%s\"", item->revision, problem);
+		return;
+	}
+	if (proxy->config && config->version <= proxy->config->version) {
+		log_info("config", "older configuration is ignored "
+			 "version=%08" PRIx64 " in_force=%08" PRIx64,
+			 config->version, proxy->config->version);
+		config_release(config);
+		return;
+	}
+	config_release(proxy->config);
+	proxy->config = config;
+	counter_add(COUNTER_DOCUMENTS_APPLIED, 1);
+	gauge_set(GAUGE_DOCUMENT_VERSION, (int64_t)config->version);
+	log_info("config", "configuration is in force version=%08" PRIx64
+		 " routes=%u services=%u revision=%" PRIu64,
+		 config->version, config->route_count, config->service_count,
+		 item->revision);
+}
+
+static const char *evacuated_domain(const char *key)
+{
+	const size_t bytes = strlen(PLATFORM_KEY_EVACUATE);
+
+	return strncmp(key, PLATFORM_KEY_EVACUATE, bytes) ? NULL : key + bytes;
+}
+
+static uint32_t cold_after_evacuation_ms(const struct proxy *proxy)
+{
+	uint32_t ms = 0;
+	uint32_t i;
+
+	for (i = 0; proxy->config && i < proxy->config->service_count; i++)
+		ms = MAX(ms, proxy->config->services[i].cold_start_ms);
+	return ms ? ms : COLD_AFTER_EVACUATION_MS;
+}
+
+static void on_operator_put(void *context, const struct kv_item *item)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+	const char *domain = evacuated_domain(item->key);
+
+	if (domain) {
+		g_hash_table_add(proxy->evacuated, g_strdup(domain));
+		log_info("evacuation", "failure domain is evacuated domain=%s "
+			 "revision=%" PRIu64, domain, item->revision);
+	} else if (!strcmp(item->key, PLATFORM_KEY_CONFIG)) {
+		put_config(proxy, item);
+	}
+}
+
+static void on_operator_removed(void *context, const char *key)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+	const char *domain = evacuated_domain(key);
+
+	if (!domain || !g_hash_table_remove(proxy->evacuated, domain))
+		return;
+	servers_chill(proxy->servers, domain, cold_after_evacuation_ms(proxy));
+	log_info("evacuation", "failure domain is taken back domain=%s",
+		 domain);
+}
+
+static void on_operator_synced(void *context)
+{
+	((struct belief *)context)->operator_read = true;
+}
+
+static void on_server_put(void *context, const struct kv_item *item)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+	struct server_entry entry;
+	const char *problem = server_decode(item->key, item->value,
+					    item->value_bytes, &entry);
+
+	if (problem) {
+		log_warn("servers", "entry names no server key=%s why=\"%s\"",
+			 item->key, problem);
+		servers_remove(proxy->servers,
+			       item->key + strlen(PLATFORM_PREFIX_SERVERS));
+	} else {
+		servers_put(proxy->servers, &entry);
+	}
+	server_entry_clear(&entry);
+}
+
+static void on_server_removed(void *context, const char *key)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+
+	servers_remove(proxy->servers, key + strlen(PLATFORM_PREFIX_SERVERS));
+}
+
+static void on_servers_synced(void *context)
+{
+	struct belief *belief = context;
+
+	if (!belief->servers_read)
+		log_info("servers", "list is read servers=%u",
+			 servers_count(belief->proxy->servers));
+	belief->servers_read = true;
+}
+
+static void on_vm_put(void *context, const struct kv_item *item)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+
+	vms_put(proxy->vms, item->key + strlen(VMS_KEY_PREFIX), item->value,
+		item->value_bytes);
+	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
+}
+
+static void on_vm_removed(void *context, const char *key)
+{
+	struct proxy *proxy = ((struct belief *)context)->proxy;
+
+	vms_remove(proxy->vms, key + strlen(VMS_KEY_PREFIX));
+	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
+}
+
+static void on_vms_synced(void *context)
+{
+	(void)context;
+}
+
+static const struct mirror_events operator_events = {
+	on_operator_put,
+	on_operator_removed,
+	on_operator_synced,
+};
+static const struct mirror_events server_events = {
+	on_server_put,
+	on_server_removed,
+	on_servers_synced,
+};
+static const struct mirror_events vm_events = {
+	on_vm_put,
+	on_vm_removed,
+	on_vms_synced,
+};
+
+struct belief *belief_new(struct proxy *proxy, const struct sockaddr_in *store)
+{
+	struct belief *belief = g_new0(struct belief, 1);
+
+	belief->proxy = proxy;
+	belief->operator_keys =
+		mirror_new(proxy->base, proxy->clock, store,
+			   PLATFORM_PREFIX_OPERATOR, &operator_events, belief);
+	belief->server_keys =
+		mirror_new(proxy->base, proxy->clock, store,
+			   PLATFORM_PREFIX_SERVERS, &server_events, belief);
+	belief->vm_keys = mirror_new(proxy->base, proxy->clock, store,
+				     VMS_KEY_PREFIX, &vm_events, belief);
+	if (belief->operator_keys && belief->server_keys && belief->vm_keys)
+		return belief;
+	belief_free(belief);
+	return NULL;
+}
+
+void belief_free(struct belief *belief)
+{
+	if (!belief)
+		return;
+	mirror_free(belief->operator_keys);
+	mirror_free(belief->server_keys);
+	mirror_free(belief->vm_keys);
+	g_free(belief);
+}
+
+bool belief_complete(const struct belief *belief)
+{
+	return belief->operator_read && belief->servers_read;
+}
+
+void belief_resync(struct belief *belief)
+{
+	mirror_resync(belief->operator_keys);
+	mirror_resync(belief->server_keys);
+	mirror_resync(belief->vm_keys);
+}
+
+int64_t belief_servers_age_ms(const struct belief *belief)
+{
+	return mirror_age_ms(belief->server_keys);
+}
--- /dev/null
+++ b/src/proxy/exchange.c
@@ -0,0 +1,393 @@
+#include "proxy/exchange.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "platform/header_codec.h"
+#include "proxy/exchange_internal.h"
+#include "proxy/headers.h"
+
+/* Bodies held for all requests in progress. Half of the smallest VM's memory,
+ * 112 MB. */
+#define BODIES_BYTES_MAX (56 * 1024 * 1024)
+/* Larger bodies are refused before they are read, smaller ones after, so that
+ * the connection can be kept. */
+#define BODY_BYTES_READ_FIRST 65536
+/* Added to the time limit, so that a server's own answer at its deadline can
+ * arrive. */
+#define LATE_ANSWER_MS 60
+/* Deadline of a request whose caller gives none. */
+#define DEADLINE_DEFAULT_MS 30000
+/* Bytes that wait for a slow caller before its server is held up. */
+#define UNSENT_BYTES_MAX (512 * 1024)
+/* Time after which a caller may return when it is not known when there will be
+ * room. */
+#define RETURN_DEFAULT_MS 500
+
+static void on_deadline(evutil_socket_t fd, short what, void *context);
+
+static void exchange_free(struct exchange *e)
+{
+	uint32_t i;
+
+	attempt_free(e->attempt);
+	for (i = 0; i < e->tried_count; i++)
+		server_release(e->tried[i]);
+	e->proxy->exchanges--;
+	gauge_add(GAUGE_IN_FLIGHT, -1);
+	e->proxy->body_bytes -= evbuffer_get_length(e->body);
+	config_release(e->config);
+	event_free(e->timer);
+	evbuffer_free(e->head);
+	evbuffer_free(e->body);
+	free(e->id);
+	free(e->method);
+	free(e);
+}
+
+static void refuse(struct exchange *e, uint16_t status, const char *why)
+{
+	e->refusal = status;
+	e->refusal_why = why;
+}
+
+static void copy_host(const struct http_head *head, char *out, size_t bytes)
+{
+	const char *host = http_head_get(head, "Host");
+
+	g_strlcpy(out, host ? host : "", bytes);
+	out[strcspn(out, ":")] = '\0';
+}
+
+static void match_route(struct exchange *e, const struct http_head *head)
+{
+	char host[256];
+
+	if (*head->target != '/') {
+		refuse(e, 400, "target");
+		return;
+	}
+	if (!e->config) {
+		refuse(e, 503, "no-configuration");
+		return;
+	}
+	copy_host(head, host, sizeof(host));
+	e->route = config_route(e->config, host, head->target);
+	if (!e->route) {
+		refuse(e, 404, "no-route");
+		return;
+	}
+	e->service = route_part_for(e->route, XXH3_64bits(e->id, strlen(e->id)))
+			     ->service;
+	e->body_bytes_max = e->config->limits.body_bytes_max;
+	if (head->content_length > (int64_t)e->body_bytes_max)
+		refuse(e, 413, "body-too-large");
+}
+
+static void set_deadline(struct exchange *e, uint32_t caller_ms)
+{
+	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
+	struct timeval delay;
+
+	if (e->route && e->route->timeout_ms < limit_ms)
+		limit_ms = e->route->timeout_ms;
+	e->deadline_ms = e->started_ms + limit_ms;
+	limit_ms += LATE_ANSWER_MS;
+	delay.tv_sec = limit_ms / MS_PER_S;
+	delay.tv_usec = (limit_ms % MS_PER_S) * 1000;
+	evtimer_add(e->timer, &delay);
+}
+
+static uint64_t hash_object(const struct exchange *e,
+			    const struct request_meta *meta)
+{
+	if (meta->object)
+		return XXH3_64bits(meta->object, meta->object_bytes);
+	return XXH3_64bits(e->id, strlen(e->id));
+}
+
+struct exchange *exchange_begin(struct proxy *proxy, struct caller *caller,
+				const struct http_head *head)
+{
+	struct request_meta meta = request_meta_decode(head);
+	struct exchange *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	e->proxy = proxy;
+	e->caller = caller;
+	e->started_ms = proxy_now_ms(proxy);
+	e->config = proxy->config ? config_hold(proxy->config) : NULL;
+	e->id = strdup(meta.id ? meta.id : "");
+	e->method = strdup(head->method);
+	e->object_hash = hash_object(e, &meta);
+	e->head = evbuffer_new();
+	e->body = evbuffer_new();
+	e->timer = evtimer_new(proxy->base, on_deadline, e);
+	e->worst = VERDICT_NOT_RUN;
+	proxy->exchanges++;
+	gauge_add(GAUGE_IN_FLIGHT, 1);
+	counter_add(COUNTER_REQUESTS, 1);
+	headers_copy_request(head, e->head);
+	match_route(e, head);
+	set_deadline(e, meta.deadline_ms);
+	e->request.id = e->id;
+	e->request.method = e->method;
+	e->request.head = e->head;
+	e->request.body = e->body;
+	e->request.deadline_ms = e->deadline_ms;
+	if (head->content_length <= BODY_BYTES_READ_FIRST && e->refusal != 413)
+		return e;
+	if (!e->refusal && proxy->body_bytes + (uint64_t)head->content_length >
+				   BODIES_BYTES_MAX)
+		refuse(e, 503, "bodies-fill-memory");
+	return e;
+}
+
+bool exchange_refuses_body(const struct exchange *e)
+{
+	return e->refusal == 413 ||
+	       (e->refusal && e->refusal_why &&
+		!strcmp(e->refusal_why, "bodies-fill-memory"));
+}
+
+void exchange_body(struct exchange *e, const uint8_t *data, size_t bytes)
+{
+	size_t held = evbuffer_get_length(e->body);
+
+	if (e->refusal)
+		return;
+	if (held + bytes > e->body_bytes_max) {
+		exchange_fail(e, 413, "body-too-large");
+		return;
+	}
+	if (e->proxy->body_bytes + bytes > BODIES_BYTES_MAX) {
+		exchange_fail(e, 503, "bodies-fill-memory");
+		return;
+	}
+	evbuffer_add(e->body, data, bytes);
+	e->proxy->body_bytes += bytes;
+}
+
+void exchange_run(struct exchange *e)
+{
+	struct retry_share_rule rule;
+
+	if (e->refusal) {
+		exchange_fail(e, e->refusal, e->refusal_why);
+		return;
+	}
+	rule = exchange_retry_rule(e);
+	retry_share_request(exchange_retry_share(e), &rule, e->started_ms);
+	exchange_place(e, NULL);
+}
+
+static void log_end(const struct exchange *e, uint16_t status, const char *why)
+{
+	log_info("request", "request is answered request=%s route=%s "
+		 "version=%08" PRIx64 " status=%u why=%s verdict=%s sends=%u "
+		 "took_ms=%" PRId64 " server=%s",
+		 e->id, e->route ? e->route->name : "-",
+		 e->config ? e->config->version : 0, status, why,
+		 verdict_text(e->worst), e->sends,
+		 proxy_now_ms(e->proxy) - e->started_ms,
+		 e->tried_count ? e->tried[e->tried_count - 1]->id : "-");
+}
+
+static uint32_t return_after_ms(const struct exchange *e)
+{
+	uint32_t ms = e->wait_ms ? e->wait_ms : RETURN_DEFAULT_MS;
+
+	/* callers who were refused together return apart */
+	return (uint32_t)g_random_int_range((gint32)(ms / 2 + 50),
+					    (gint32)(ms * 3 / 2 + 51));
+}
+
+void exchange_fail(struct exchange *e, uint16_t status, const char *why)
+{
+	struct caller *caller = e->caller;
+	struct evbuffer *headers = evbuffer_new();
+	uint32_t after_ms = return_after_ms(e);
+
+	log_end(e, status, why);
+	counter_add(e->worst == VERDICT_NOT_RUN ? COUNTER_NOT_RUN :
+						  COUNTER_MAY_HAVE_RUN, 1);
+	if (e->id[0])
+		answer_headers_encode(headers, e->id);
+	if (status == 503 || status == 429)
+		evbuffer_add_printf(headers, "Retry-After: %u.%03u\r\n",
+				    after_ms / (uint32_t)MS_PER_S,
+				    after_ms % (uint32_t)MS_PER_S);
+	caller_write_head(caller, status, headers, ANSWER_SIZED, 0, false);
+	evbuffer_free(headers);
+	exchange_free(e);
+	caller_answered(caller);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *context)
+{
+	struct exchange *e = context;
+	uint16_t status;
+
+	(void)fd;
+	(void)what;
+	if (e->passing_on)
+		return;
+	if (e->attempt && attempt_sent(e->attempt)) {
+		e->worst = MAX(e->worst, VERDICT_MAY_HAVE_RUN);
+		server_failed(attempt_server(e->attempt), "timed-out",
+			      proxy_now_ms(e->proxy));
+	}
+	counter_add(COUNTER_TIMED_OUT, 1);
+	status = e->refusal ? e->refusal : outcome_status(e->worst, true);
+	exchange_fail(e, status, "time-is-up");
+}
+
+void exchange_cancel(struct exchange *e)
+{
+	if (!e)
+		return;
+	log_info("request", "caller has left request=%s route=%s sends=%u "
+		 "took_ms=%" PRId64, e->id, e->route ? e->route->name : "-",
+		 e->sends, proxy_now_ms(e->proxy) - e->started_ms);
+	exchange_free(e);
+}
+
+static enum answer_framing framing_of(const struct exchange *e, uint16_t status)
+{
+	if (status == 204 || status == 304)
+		return ANSWER_BARE;
+	return strcmp(e->method, "HEAD") ? ANSWER_SIZED : ANSWER_BARE;
+}
+
+static void deliver(struct exchange *e, struct attempt *a)
+{
+	struct caller *caller = e->caller;
+	uint16_t status = attempt_status(a);
+
+	log_end(e, status, "answered");
+	counter_add(COUNTER_ANSWERED, 1);
+	caller_write_head(caller, status, attempt_headers(a),
+			  framing_of(e, status),
+			  evbuffer_get_length(attempt_body(a)), false);
+	caller_write_body(caller, attempt_body(a));
+	exchange_free(e);
+	caller_answered(caller);
+}
+
+static void on_overflow(void *context, struct attempt *a)
+{
+	struct exchange *e = context;
+	int64_t announced = attempt_announced_bytes(a);
+
+	e->passing_on = true;
+	evtimer_del(e->timer);
+	caller_write_head(e->caller, attempt_status(a), attempt_headers(a),
+			  announced >= 0 ? ANSWER_SIZED : ANSWER_CHUNKED,
+			  announced >= 0 ? (uint64_t)announced : 0, false);
+	caller_write_body(e->caller, attempt_body(a));
+}
+
+static void on_more(void *context, struct attempt *a)
+{
+	struct exchange *e = context;
+
+	caller_write_body(e->caller, attempt_body(a));
+	if (caller_unsent_bytes(e->caller) > UNSENT_BYTES_MAX)
+		attempt_hold(a, true);
+}
+
+void exchange_drained(struct exchange *e)
+{
+	if (e->passing_on && e->attempt)
+		attempt_hold(e->attempt, false);
+}
+
+static void end_passed_on(struct exchange *e, enum attempt_end end)
+{
+	struct caller *caller = e->caller;
+	bool whole = end == ATTEMPT_ANSWERED || end == ATTEMPT_FAILED;
+
+	log_end(e, attempt_status(e->attempt), whole ? "answered" : "cut");
+	exchange_free(e);
+	if (whole)
+		caller_answered(caller);
+	else
+		caller_abort(caller);
+}
+
+static bool may_send_again(const struct exchange *e, enum attempt_end end)
+{
+	if (outcome_verdict(end) != VERDICT_NOT_RUN && !e->route->idempotent)
+		return false;
+	if (e->sends >= e->route->attempts_max ||
+	    e->tried_count >= EXCHANGE_SERVERS_MAX)
+		return false;
+	return proxy_now_ms(e->proxy) < e->deadline_ms;
+}
+
+static bool pays_for_repeat(const struct exchange *e, enum attempt_end end)
+{
+	struct retry_share_rule rule = exchange_retry_rule(e);
+
+	/* what never reached the server is no repeat */
+	if (end == ATTEMPT_NOT_CONNECTED)
+		return true;
+	return retry_share_take(exchange_retry_share(e), &rule,
+				proxy_now_ms(e->proxy));
+}
+
+static void learn(struct exchange *e, struct server *server,
+		  enum attempt_end end)
+{
+	if (end == ATTEMPT_OTHER_SERVER) {
+		server->misplaced = true;
+		log_info("servers", "another server answers server=%s",
+			 server->id);
+	} else if (outcome_blames_server(end)) {
+		server_failed(server, outcome_text(end),
+			      proxy_now_ms(e->proxy));
+	} else if (end == ATTEMPT_ANSWERED) {
+		server_succeeded(server);
+	}
+}
+
+static void on_done(void *context, struct attempt *a, enum attempt_end end)
+{
+	struct exchange *e = context;
+	struct server *server = attempt_server(a);
+
+	learn(e, server, end);
+	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
+		e->sends++;
+	e->worst = MAX(e->worst, outcome_verdict(end));
+	if (e->passing_on) {
+		end_passed_on(e, end);
+		return;
+	}
+	if (end == ATTEMPT_ANSWERED) {
+		deliver(e, a);
+		return;
+	}
+	if (may_send_again(e, end) && pays_for_repeat(e, end)) {
+		attempt_free(a);
+		e->attempt = NULL;
+		exchange_place(e, outcome_text(end));
+		return;
+	}
+	if (end == ATTEMPT_FAILED) {
+		deliver(e, a);
+		return;
+	}
+	exchange_fail(e, outcome_status(e->worst, false), outcome_text(end));
+}
+
+const struct attempt_events exchange_attempt_events = {
+	on_overflow,
+	on_more,
+	on_done,
+};
--- /dev/null
+++ b/src/proxy/exchange_internal.h
@@ -0,0 +1,61 @@
+#ifndef PROXY_EXCHANGE_INTERNAL_H
+#define PROXY_EXCHANGE_INTERNAL_H
+
+#include "proxy/attempt.h"
+#include "proxy/caller.h"
+#include "proxy/exchange.h"
+
+/** @file What the files of an exchange share. */
+
+/** A request is sent to at most this many servers, whatever its route says. */
+#define EXCHANGE_SERVERS_MAX 8
+
+struct exchange {
+	struct proxy *proxy;
+	struct caller *caller;
+	struct config *config;
+	const struct route *route;
+	const struct service *service;
+	char *id;
+	char *method;
+	uint64_t object_hash;
+	struct evbuffer *head;
+	struct evbuffer *body;
+	uint64_t body_bytes_max;
+	struct attempt_request request;
+	struct event *timer;
+	int64_t started_ms;
+	int64_t deadline_ms; /* earlier of caller's and route's */
+	uint16_t refusal;    /* status known before placing; 0: none */
+	const char *refusal_why;
+	struct attempt *attempt; /* in progress */
+	struct server *tried[EXCHANGE_SERVERS_MAX];
+	uint32_t tried_count;
+	uint32_t sends; /* that a server may have begun to handle */
+	enum verdict worst;
+	bool passing_on; /* the answer is sent while it arrives */
+	uint32_t wait_ms; /* estimated for the place that was refused */
+};
+
+/**
+ * Chooses a server and sends the request, or refuses it. May end the exchange.
+ *
+ * @param why_again NULL for the first send.
+ */
+void exchange_place(struct exchange *exchange, const char *why_again);
+
+/** Answers with a status of our own and ends the exchange. */
+void exchange_fail(struct exchange *exchange, uint16_t status,
+		   const char *why);
+
+/** @return whether the server was tried for this request. */
+bool exchange_has_tried(const struct exchange *exchange,
+			const struct server *server);
+
+/** @return this VM's share of repeats to the exchange's service. */
+struct retry_share *exchange_retry_share(const struct exchange *exchange);
+struct retry_share_rule exchange_retry_rule(const struct exchange *exchange);
+
+extern const struct attempt_events exchange_attempt_events;
+
+#endif
--- /dev/null
+++ b/src/proxy/headers.c
@@ -0,0 +1,84 @@
+#include "proxy/headers.h"
+
+#include <stdbool.h>
+#include <strings.h>
+
+#include "base/attributes.h"
+#include "platform/header_codec.h"
+
+/* Headers that concern one connection only, RFC 9110 section 7.6.1, and those
+ * that frame a body, which are written anew. */
+static const char *const hop_headers[] = {
+	"Connection", "Keep-Alive",	   "Proxy-Connection", "TE",
+	"Trailer",    "Transfer-Encoding", "Upgrade",	       "Content-Length",
+	"Expect",
+};
+
+static bool passes(const struct http_head *head, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(hop_headers); i++)
+		if (!strcasecmp(name, hop_headers[i]))
+			return false;
+	return !http_head_has_token(head, "Connection", name);
+}
+
+void headers_copy_request(const struct http_head *head, struct evbuffer *out)
+{
+	uint32_t i;
+
+	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", head->method,
+			    head->target);
+	for (i = 0; i < head->header_count; i++) {
+		const struct http_header *header = &head->headers[i];
+
+		if (passes(head, header->name) &&
+		    !request_header_is_own(header->name))
+			evbuffer_add_printf(out, "%s: %s\r\n", header->name,
+					    header->value);
+	}
+}
+
+void headers_copy_answer(const struct http_head *head, struct evbuffer *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < head->header_count; i++) {
+		const struct http_header *header = &head->headers[i];
+
+		if (passes(head, header->name))
+			evbuffer_add_printf(out, "%s: %s\r\n", header->name,
+					    header->value);
+	}
+}
+
+const char *headers_reason(uint16_t status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 429:
+		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 500:
+		return "Internal Server Error";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
+}
--- /dev/null
+++ b/src/proxy/main.c
@@ -0,0 +1,257 @@
+#include <argtable2.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "kv/presence.h"
+#include "net/listener.h"
+#include "platform/bounds_codec.h"
+#include "platform/directory_codec.h"
+#include "proxy/belief.h"
+#include "proxy/caller.h"
+#include "proxy/directory.h"
+#include "proxy/endpoint.h"
+#include "proxy/stop.h"
+
+/* Environment variable that names the settings file. */
+#define SETTINGS_VARIABLE "AUBURNREACH_CONFIG"
+
+/* Bounds of a deployment that names none. */
+static const struct bounds default_bounds = {
+	.drain_ms = 2500,
+	.stop_grace_ms = 6000,
+	.retry_ratio = 0.2,
+	.retry_extra = 20,
+	.retry_window_ms = 10000,
+	.cold_factor = 1.0,
+	.cold_extra = 0,
+	.directory_ttl_max_s = 5,
+	.shift_max = 0.15,
+	.address_reuse_ms = 2000,
+	.stability_ms = 4000,
+};
+
+struct entry {
+	struct proxy proxy;
+	struct proxy_settings settings;
+	struct presence *presence;
+	struct stop *stop;
+	struct evconnlistener *requests;
+	struct endpoint *ready;
+	struct endpoint *directory;
+	struct endpoint *metrics;
+};
+
+static uint16_t answer_ready(void *context, const char *method,
+			     const char *target, struct evbuffer *body,
+			     const char **media_type)
+{
+	const struct proxy *proxy = context;
+
+	(void)method;
+	(void)body;
+	(void)media_type;
+	if (strcmp(target, READY_PATH))
+		return 404;
+	return !proxy->stopping && proxy->config &&
+			       belief_complete(proxy->belief) ?
+		       200 :
+		       503;
+}
+
+static uint16_t answer_metrics(void *context, const char *method,
+			       const char *target, struct evbuffer *body,
+			       const char **media_type)
+{
+	GString *text = g_string_new(NULL);
+
+	(void)context;
+	(void)method;
+	(void)target;
+	*media_type = "application/openmetrics-text; version=1.0.0";
+	counter_write(text);
+	g_string_append(text, "# EOF\n");
+	evbuffer_add(body, text->str, text->len);
+	g_string_free(text, true);
+	return 200;
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	(void)listener;
+	(void)address;
+	(void)length;
+	tcp_prepare(fd);
+	caller_accept(context, fd);
+}
+
+static bool open_listeners(struct entry *entry)
+{
+	const struct proxy_settings *settings = &entry->settings;
+	struct proxy *proxy = &entry->proxy;
+
+	entry->requests = listener_open(proxy->base, settings->request_address,
+					on_accept, proxy);
+	entry->ready = endpoint_new(proxy->base, settings->ready_address,
+				    answer_ready, proxy);
+	if (!entry->requests || !entry->ready)
+		return false;
+	if (*settings->directory_address) {
+		entry->directory = endpoint_new(proxy->base,
+						settings->directory_address,
+						directory_answer, proxy);
+		if (!entry->directory)
+			return false;
+	}
+	/* a fleet is served without metrics rather than not at all */
+	if (*settings->metrics_address)
+		entry->metrics = endpoint_new(proxy->base,
+					      settings->metrics_address,
+					      answer_metrics, proxy);
+	return true;
+}
+
+static bool open_proxy(struct entry *entry)
+{
+	const struct proxy_settings *settings = &entry->settings;
+	struct proxy *proxy = &entry->proxy;
+	struct sockaddr_in store;
+	char *text;
+	char *key;
+
+	if (!tcp_parse(settings->store_address, &store))
+		return false;
+	proxy->base = event_base_new();
+	if (!proxy->base)
+		return false;
+	proxy->clock = &clock_system;
+	proxy->settings = settings;
+	proxy->bounds = default_bounds;
+	bounds_decode(settings->bounds, &proxy->bounds);
+	proxy->topology.domains = settings->domains;
+	proxy->topology.domain_count = settings->domain_count;
+	proxy->region = g_intern_string(settings->region);
+	proxy->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	proxy->retry_shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	proxy->servers = servers_new(proxy->clock, &proxy->topology);
+	proxy->vms = vms_new(&proxy->topology);
+	if (!open_listeners(entry))
+		return false;
+	proxy->belief = belief_new(proxy, &store);
+	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
+	text = vms_entry_text(settings->request_address,
+			      settings->failure_domain);
+	entry->presence = presence_new(proxy->base, &store, key, text);
+	g_free(key);
+	free(text);
+	entry->stop = stop_new(proxy, entry->presence);
+	return proxy->belief && entry->presence && entry->stop;
+}
+
+static void close_proxy(struct entry *entry)
+{
+	struct proxy *proxy = &entry->proxy;
+
+	if (!proxy->base)
+		return;
+	callers_close_all(proxy);
+	stop_free(entry->stop);
+	presence_free(entry->presence);
+	belief_free(proxy->belief);
+	endpoint_free(entry->metrics);
+	endpoint_free(entry->directory);
+	endpoint_free(entry->ready);
+	if (entry->requests)
+		evconnlistener_free(entry->requests);
+	vms_free(proxy->vms);
+	servers_free(proxy->servers);
+	g_hash_table_destroy(proxy->retry_shares);
+	g_hash_table_destroy(proxy->evacuated);
+	config_release(proxy->config);
+	event_base_free(proxy->base);
+}
+
+static int run(const char *settings_file)
+{
+	static struct entry entry;
+	struct shape_errors errors = shape_errors_new();
+	int code = EXIT_FAILURE;
+
+	if (!proxy_settings_read(&entry.settings, settings_file, &errors)) {
+		fprintf(stderr, "%s: %s", settings_file, errors.text->str);
+		goto out;
+	}
+	if (log_open(log_level_from_name(entry.settings.log_level))) {
+		fprintf(stderr, "log writer cannot be started\n");
+		goto out;
+	}
+	log_info("main", "entry VM starts vm=%s region=%s domain=%s "
+		 "requests=%s version=%s",
+		 entry.settings.name, entry.settings.region,
+		 entry.settings.failure_domain, entry.settings.request_address,
+		 ABR_VERSION);
+	if (open_proxy(&entry)) {
+		event_base_dispatch(entry.proxy.base);
+		code = EXIT_SUCCESS;
+	}
+	log_info("main", "entry VM stops vm=%s", entry.settings.name);
+	close_proxy(&entry);
+	log_close();
+out:
+	shape_clear(&proxy_settings_shape, &entry.settings);
+	shape_errors_clear(&errors);
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *settings = arg_file0(
+		NULL, "settings", "FILE",
+		"settings file; " SETTINGS_VARIABLE " names it if absent");
+	struct arg_lit *check =
+		arg_lit0(NULL, "check", "check the settings and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { settings, check, help, version, end };
+	const char *file = getenv(SETTINGS_VARIABLE);
+	int code = EXIT_FAILURE;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "auburnreach-entry");
+		goto out;
+	}
+	if (settings->count)
+		file = settings->filename[0];
+	if (help->count || version->count) {
+		printf("auburnreach-entry %s\n", ABR_VERSION);
+		if (help->count)
+			arg_print_glossary(stdout, table, "  %-20s %s\n");
+		code = EXIT_SUCCESS;
+	} else if (!file) {
+		fprintf(stderr, "no settings file; give --settings FILE\n");
+	} else if (check->count) {
+		struct proxy_settings checked = { 0 };
+		struct shape_errors errors = shape_errors_new();
+
+		if (proxy_settings_read(&checked, file, &errors))
+			code = EXIT_SUCCESS;
+		fprintf(stderr, "%s", errors.text->str);
+		shape_clear(&proxy_settings_shape, &checked);
+		shape_errors_clear(&errors);
+	} else {
+		signal(SIGPIPE, SIG_IGN);
+		code = run(file);
+	}
+out:
+	arg_freetable(table, ARRAY_SIZE(table));
+	return code;
+}
--- /dev/null
+++ b/src/proxy/settings.c
@@ -0,0 +1,67 @@
+#include "proxy/settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/shape_fields.h"
+
+#define DOMAINS_MAX 256
+#define BOUNDS_TEXT_MAX 8192
+
+static const struct field domain_fields[] = {
+	SHAPE_NAME(topology_domain, name, "name", true,
+		   "a failure domain's name"),
+	SHAPE_NAME(topology_domain, region, "region", true,
+		   "the region it lies in"),
+};
+
+static const struct shape domain_shape =
+	SHAPE_OF(topology_domain, domain_fields);
+
+static const struct field settings_fields[] = {
+	SHAPE_NAME(proxy_settings, name, "name", true,
+		   "this entry VM's name, unique in the fleet"),
+	SHAPE_NAME(proxy_settings, region, "region", true,
+		   "where this VM stands"),
+	SHAPE_NAME(proxy_settings, failure_domain, "failure_domain", true,
+		   "where this VM stands"),
+	SHAPE_LIST(proxy_settings, domains, domain_count, "failure_domains",
+		   FIELD_OBJECTS, 1, DOMAINS_MAX, &domain_shape,
+		   "every failure domain with its region"),
+	SHAPE_ADDRESS(proxy_settings, request_address, "request_address", true,
+		      "IP:port for callers' requests"),
+	SHAPE_ADDRESS(proxy_settings, ready_address, "ready_address", true,
+		      "IP:port for the platform's checks"),
+	SHAPE_ADDRESS(proxy_settings, directory_address, "directory_address",
+		      false, "IP:port for the directory; none if absent"),
+	SHAPE_ADDRESS(proxy_settings, metrics_address, "metrics_address", false,
+		      "IP:port for metrics; none if absent"),
+	SHAPE_ADDRESS(proxy_settings, store_address, "store_address", true,
+		      "IP:port of the platform's store"),
+	SHAPE_TEXT(proxy_settings, bounds, "bounds", false, BOUNDS_TEXT_MAX,
+		   "the deployment's bounds, as name=value joined by commas"),
+	SHAPE_TEXT(proxy_settings, log_level, "log_level", false, 64,
+		   "error, warn, info or debug"),
+};
+
+const struct shape proxy_settings_shape =
+	SHAPE_OF(proxy_settings, settings_fields);
+
+bool proxy_settings_read(struct proxy_settings *settings,
+			 const char *file_name, struct shape_errors *errors)
+{
+	if (!shape_read_file(&proxy_settings_shape, file_name, settings,
+			     errors))
+		return false;
+	if (!*settings->log_level) {
+		free(settings->log_level);
+		settings->log_level = strdup("info");
+	}
+	if (log_level_from_name(settings->log_level) < 0)
+		shape_error(errors, "log_level",
+			    "\"%s\" is not a level; use error, warn, info or "
+			    "debug",
+			    settings->log_level);
+	return !errors->count;
+}
--- /dev/null
+++ b/src/proxy/settings.h
@@ -0,0 +1,38 @@
+#ifndef PROXY_SETTINGS_H
+#define PROXY_SETTINGS_H
+
+#include <stdbool.h>
+
+#include "base/shape.h"
+#include "fleet/topology.h"
+
+/** @file The entry VM's settings file. */
+
+struct proxy_settings {
+	char *name;
+	char *region;
+	char *failure_domain;
+	struct topology_domain *domains;
+	uint32_t domain_count;
+	char *request_address;
+	char *ready_address;
+	char *directory_address;
+	char *metrics_address;
+	char *store_address;
+	char *bounds;
+	char *log_level;
+};
+
+extern const struct shape proxy_settings_shape;
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param settings zeroed; freed with shape_clear(&proxy_settings_shape, ...)
+ * whatever the outcome.
+ * @return whether it may be used; if not, the errors say what to mend.
+ */
+bool proxy_settings_read(struct proxy_settings *settings,
+			 const char *file_name, struct shape_errors *errors);
+
+#endif
