feat(decide): a region's share of requests run elsewhere follows its own rate

Problem: one region has 2 of 20 servers and a third of the callers. Spilling each request when its server was full moved 41-50% of the region's requests between windows (15% allowed); not spilling queued them past their time. Loops over reported load swung: reports are late and differ between VMs.

Solution: every VM computes the share from its own rate, the number of VMs and the time a request runs; it begins from the share of slots, moves slowly, and rises when requests wait. Whole objects leave, so that each server knows fewer. Watches gather events for 250 ms.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 
+#include <inttypes.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -17,7 +18,7 @@
 #define LINE_BYTES_MAX 500
 /* The writer looks for lines at this pace instead of being woken by each: a
  * wake-up costs the request that logs. */
-#define IDLE_SLEEP_MS 10
+#define IDLE_SLEEP_MS 100
 
 struct line {
 	enum log_level level;
@@ -54,6 +55,7 @@
 {
 	const struct timespec idle = { 0, IDLE_SLEEP_MS * NS_PER_MS };
 	struct line *line;
+	bool written = false;
 
 	(void)context;
 	for (;;) {
@@ -62,8 +64,12 @@
 			log4c_category_log(category, priorities[line->level],
 					   "%s", line->text);
 			free(line);
+			written = true;
 			continue;
 		}
+		if (written)
+			fflush(stdout);
+		written = false;
 		if (stopping && !ring_size(lines))
 			break;
 		clock_nanosleep(CLOCK_MONOTONIC, 0, &idle, NULL);
@@ -71,15 +77,40 @@
 	return NULL;
 }
 
+/* Lines carry their own time and level: log4c only hands them on. */
+static const char *plain_format(const log4c_layout_t *layout,
+				const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+/* Writes one line without waiting for the disk or terminal behind it. */
+static int stdout_append(log4c_appender_t *appender,
+			 const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fprintf(stdout, "%s\n", event->evt_rendered_msg);
+}
+
+static const log4c_layout_type_t plain_layout = { "plain", plain_format };
+static const log4c_appender_type_t stdout_appender = {
+	"buffered_stdout", NULL, stdout_append, NULL
+};
+
 int log_open(enum log_level level)
 {
 	log4c_appender_t *appender;
 
 	if (log4c_init())
 		fprintf(stderr, "log: configuration file was not read\n");
+	log4c_layout_type_set(&plain_layout);
+	log4c_appender_type_set(&stdout_appender);
 	category = log4c_category_get("auburnreach");
-	appender = log4c_appender_get("stdout");
-	log4c_appender_set_layout(appender, log4c_layout_get("dated_r"));
+	appender = log4c_appender_get("auburnreach-log");
+	log4c_layout_set_type(log4c_layout_get("plain"), &plain_layout);
+	log4c_appender_set_type(appender, &stdout_appender);
+	log4c_appender_set_layout(appender, log4c_layout_get("plain"));
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_priority(category, priorities[level]);
 	level_max = level;
@@ -112,6 +143,7 @@
 void log_line(enum log_level level, const char *part, const char *format, ...)
 {
 	struct line *line;
+	int64_t now_ms;
 	va_list args;
 	int used;
 
@@ -123,7 +155,10 @@
 		return;
 	}
 	line->level = level;
-	used = snprintf(line->text, sizeof(line->text), "%s: ", part);
+	now_ms = clock_unix_ms(&clock_system);
+	used = snprintf(line->text, sizeof(line->text),
+			"%" PRId64 ".%03d %s %s: ", now_ms / MS_PER_S,
+			(int)(now_ms % MS_PER_S), level_names[level], part);
 	va_start(args, format);
 	vsnprintf(line->text + used, sizeof(line->text) - (size_t)used, format,
 		  args);
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -3,6 +3,18 @@
 #include <math.h>
 #include <xxhash.h>
 
+/* Groups of candidates, best first. A request leaves a group only when nobody
+ * in it can take it. */
+enum group {
+	GROUP_PREFERRED_ROOM,
+	GROUP_PREFERRED_AVOIDED,
+	GROUP_PREFERRED_FULL,
+	GROUP_OTHER_ROOM,
+	GROUP_OTHER_AVOIDED,
+	GROUP_OTHER_FULL,
+	GROUP_NONE,
+};
+
 /* Weighted rendezvous hashing: the share of objects that a server comes first
  * for is its share of the slots. */
 static double rank_score(uint64_t object_hash,
@@ -26,15 +38,33 @@
 	return (uint32_t)((uint64_t)ahead * service_time_ms / candidate->slots);
 }
 
-/* Classes of candidates, best first; a request leaves one class only when
- * nothing in it has room. */
-static uint32_t class_of(const struct place_candidate *candidate)
+static enum group group_of(const struct place_candidate *candidate,
+			   const struct place_request *request)
 {
-	bool room = candidate->load < candidate->slots;
+	bool preferred = candidate->near != request->away;
+	enum group group;
 
-	if (!room)
-		return 4;
-	return (candidate->avoid ? 2 : 0) + (candidate->near ? 0 : 1);
+	if (candidate->barred || !candidate->slots)
+		return GROUP_NONE;
+	if (candidate->load >= candidate->slots)
+		group = GROUP_PREFERRED_FULL;
+	else if (candidate->avoid)
+		group = GROUP_PREFERRED_AVOIDED;
+	else
+		group = GROUP_PREFERRED_ROOM;
+	return preferred ? group : group + GROUP_OTHER_ROOM;
+}
+
+/* Larger is better within one group. */
+static double score_of(const struct place_candidate *candidate,
+		       const struct place_request *request, enum group group)
+{
+	if (group == GROUP_PREFERRED_FULL || group == GROUP_OTHER_FULL)
+		return -(double)wait_ms(candidate, request->service_time_ms) -
+		       (candidate->avoid ? request->time_left_ms : 0);
+	if (request->sticky)
+		return rank_score(request->object_hash, candidate);
+	return -(double)candidate->load / candidate->slots;
 }
 
 struct place_choice place_choose(const struct place_candidate *candidates,
@@ -42,31 +72,20 @@
 				 const struct place_request *request)
 {
 	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
-	uint32_t best_class = UINT32_MAX;
+	enum group best_group = GROUP_NONE;
 	double best_score = 0;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		const struct place_candidate *candidate = &candidates[i];
-		uint32_t class;
+		enum group group = group_of(&candidates[i], request);
 		double score;
 
-		if (candidate->barred || !candidate->slots)
-			continue;
-		class = class_of(candidate);
-		if (class > best_class)
+		if (group == GROUP_NONE || group > best_group)
 			continue;
-		if (class == 4)
-			score = -(double)wait_ms(candidate,
-						 request->service_time_ms) -
-				(candidate->avoid ? 1e6 : 0);
-		else if (request->sticky)
-			score = rank_score(request->object_hash, candidate);
-		else
-			score = -(double)candidate->load / candidate->slots;
-		if (class == best_class && score <= best_score)
+		score = score_of(&candidates[i], request, group);
+		if (group == best_group && score <= best_score)
 			continue;
-		best_class = class;
+		best_group = group;
 		best_score = score;
 		choice.verdict = PLACE_SEND;
 		choice.index = i;
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -28,6 +28,7 @@
 struct place_request {
 	uint64_t object_hash; /**< equal for all requests of one object */
 	bool sticky;	      /**< the object's server runs it faster */
+	bool away; /**< runs in another region, if one can take it */
 	uint32_t service_time_ms; /**< of one request, expected */
 	uint32_t time_left_ms;
 };
--- /dev/null
+++ b/src/decide/spill.h
@@ -0,0 +1,55 @@
+#ifndef DECIDE_SPILL_H
+#define DECIDE_SPILL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * @file
+ * The share of a region's requests that runs in other regions.
+ *
+ * Load pattern: callers move between failure domains, and one region has far
+ * fewer slots than its callers need while others have room. Every entry VM of
+ * the region computes the same share from what it sees itself: its own rate of
+ * requests times the number of entry VMs, and the time a request runs. No loop
+ * is closed over reports of load, which are late and differ between entry VMs.
+ * The share moves slowly, since the part of a region's requests that changes
+ * region in a window is bounded; when servers are lost it follows at once.
+ * Pure.
+ */
+
+struct spill {
+	double share;	    /**< of requests that go to other regions */
+	double rate_per_s;  /**< of this entry VM's requests, smoothed */
+	double counted;	    /**< requests, older ones counting less */
+	double counted_ms;  /**< time in which they came, likewise */
+	double service_ms;  /**< time a request runs, smoothed; 0: unknown */
+	uint32_t near_slots;
+	int64_t began_ms;
+	int64_t updated_ms; /**< 0: no request yet */
+};
+
+struct spill_view {
+	uint32_t near_slots;
+	uint32_t far_slots;
+	uint32_t far_load;
+	uint32_t near_waiting; /**< requests waiting at the region's servers */
+	double domain_share; /**< of all failure domains, those of the region */
+	uint32_t region_vms;	     /**< live entry VMs of this region, >= 1 */
+	uint32_t service_ms_assumed; /**< until a request has been answered */
+};
+
+/** Counts one request and lets the share follow. */
+void spill_request(struct spill *spill, const struct spill_view *view,
+		   double shift_max_per_s, int64_t now_ms);
+
+/** Notes how long a request ran that did not wait at its server. */
+void spill_answer(struct spill *spill, int64_t ran_ms);
+
+/**
+ * @return whether requests of this object go to another region. Whole objects
+ * leave, so that servers here and there know fewer of them.
+ */
+bool spill_goes_away(const struct spill *spill, uint64_t object_hash);
+
+#endif
--- a/src/fleet/topology.c
+++ b/src/fleet/topology.c
@@ -13,3 +13,13 @@
 			return g_intern_string(topology->domains[i].region);
 	return NULL;
 }
+
+double topology_share(const struct topology *topology, const char *region)
+{
+	uint32_t inside = 0;
+	uint32_t i;
+
+	for (i = 0; i < topology->domain_count; i++)
+		inside += !strcmp(topology->domains[i].region, region);
+	return (double)inside / topology->domain_count;
+}
--- a/src/fleet/topology.h
+++ b/src/fleet/topology.h
@@ -23,4 +23,7 @@
 const char *topology_region(const struct topology *topology,
 			    const char *failure_domain);
 
+/** @return the part of all failure domains that lies in a region. */
+double topology_share(const struct topology *topology, const char *region);
+
 #endif
--- a/src/fleet/vms.c
+++ b/src/fleet/vms.c
@@ -101,3 +101,14 @@
 {
 	return vms->all;
 }
+
+uint32_t vms_in(const struct vms *vms, const char *region)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < vms->all->len; i++)
+		count += ((struct vm *)g_ptr_array_index(vms->all, i))->region ==
+			 region;
+	return count;
+}
--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -38,4 +38,7 @@
 /** @return all live VMs, as pointers to struct vm. */
 const GPtrArray *vms_all(const struct vms *vms);
 
+/** @return the number of live VMs of a region (an interned name). */
+uint32_t vms_in(const struct vms *vms, const char *region);
+
 #endif
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -13,8 +13,11 @@
 #define RANGE_TIMEOUT_MS 1500
 /* Longest wait of one watch. Shorter ones cost calls; a longer one hides a
  * connection that went silent. */
-#define WATCH_WAIT_MS 6000
+#define WATCH_WAIT_MS 12000
 #define WATCH_TIMEOUT_MS (WATCH_WAIT_MS + 1500)
+/* Pause between an event and the next watch: what changes meanwhile comes with
+ * one call. */
+#define GATHER_MS 250
 /* Pause before the next call after a failure: doubled up to the maximum. */
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 1600
@@ -257,7 +260,7 @@
 	}
 	kv_page_clear(&page);
 	m->events->synced(m->context);
-	send_next(m);
+	set_timer(m->retry, GATHER_MS);
 }
 
 static void send_next(struct mirror *m)
--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -43,6 +43,7 @@
 	bool in_head;
 	bool begun;
 	bool paused;
+	bool completed; /* a whole message waits to be reported */
 	bool no_body;
 	bool too_large;
 	bool freed;
@@ -188,12 +189,21 @@
 	if (s->role == HTTP_RESPONSES && s->head.status < 200)
 		return 0;
 	s->paused = true;
+	s->completed = true;
 	s->no_body = false;
 	http_parser_pause(parser, 1);
-	s->events->complete(s->context);
 	return 0;
 }
 
+/* The message's bytes have left the buffer: what it still holds is pending. */
+static void report_complete(struct http_stream *s)
+{
+	if (!s->completed || s->freed)
+		return;
+	s->completed = false;
+	s->events->complete(s->context);
+}
+
 static const http_parser_settings parser_settings = {
 	.on_message_begin = on_begin,
 	.on_url = on_target,
@@ -259,6 +269,7 @@
 			end(s, HTTP_END_INVALID);
 			return;
 		}
+		report_complete(s);
 	}
 }
 
@@ -296,6 +307,7 @@
 		if (!s->freed && !s->paused)
 			http_parser_execute(&s->parser, &parser_settings, NULL,
 					    0);
+		report_complete(s);
 	}
 	end(s, HTTP_END_CLOSED);
 }
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -176,13 +176,16 @@
 void exchange_run(struct exchange *e)
 {
 	struct retry_share_rule rule;
+	struct service_state *state;
 
 	if (e->refusal) {
 		exchange_fail(e, e->refusal, e->refusal_why);
 		return;
 	}
 	rule = exchange_retry_rule(e);
-	retry_share_request(exchange_retry_share(e), &rule, e->started_ms);
+	state = exchange_service_state(e);
+	retry_share_request(&state->retries, &rule, e->started_ms);
+	exchange_choose_side(e);
 	exchange_place(e, NULL);
 }
 
@@ -228,6 +231,14 @@
 	caller_answered(caller);
 }
 
+/* A request that waited behind others does not speak against its server. */
+static void learn_timeout(const struct exchange *e, struct server *server)
+{
+	if (!server->load.waiting)
+		server_failed(server, outcome_text(ATTEMPT_TIMED_OUT),
+			      proxy_now_ms(e->proxy));
+}
+
 static void on_deadline(evutil_socket_t fd, short what, void *context)
 {
 	struct exchange *e = context;
@@ -239,8 +250,7 @@
 		return;
 	if (e->attempt && attempt_sent(e->attempt)) {
 		e->worst = MAX(e->worst, VERDICT_MAY_HAVE_RUN);
-		server_failed(attempt_server(e->attempt), "timed-out",
-			      proxy_now_ms(e->proxy));
+		learn_timeout(e, attempt_server(e->attempt));
 	}
 	counter_add(COUNTER_TIMED_OUT, 1);
 	status = e->refusal ? e->refusal : outcome_status(e->worst, true);
@@ -337,7 +347,7 @@
 	/* what never reached the server is no repeat */
 	if (end == ATTEMPT_NOT_CONNECTED)
 		return true;
-	return retry_share_take(exchange_retry_share(e), &rule,
+	return retry_share_take(&exchange_service_state(e)->retries, &rule,
 				proxy_now_ms(e->proxy));
 }
 
@@ -362,6 +372,9 @@
 	struct server *server = attempt_server(a);
 
 	learn(e, server, end);
+	if (end == ATTEMPT_ANSWERED && !server->load.waiting)
+		spill_answer(&exchange_service_state(e)->spill,
+			     attempt_age_ms(a));
 	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
 		e->sends++;
 	e->worst = MAX(e->worst, outcome_verdict(end));
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -33,10 +33,14 @@
 	uint32_t tried_count;
 	uint32_t sends; /* that a server may have begun to handle */
 	enum verdict worst;
+	bool away; /* runs in another region, if one can take it */
 	bool passing_on; /* the answer is sent while it arrives */
 	uint32_t wait_ms; /* estimated for the place that was refused */
 };
 
+/** Decides whether the request runs in this region or in another. */
+void exchange_choose_side(struct exchange *exchange);
+
 /**
  * Chooses a server and sends the request, or refuses it. May end the exchange.
  *
@@ -52,8 +56,8 @@
 bool exchange_has_tried(const struct exchange *exchange,
 			const struct server *server);
 
-/** @return this VM's share of repeats to the exchange's service. */
-struct retry_share *exchange_retry_share(const struct exchange *exchange);
+/** @return what this VM keeps for the exchange's service. */
+struct service_state *exchange_service_state(const struct exchange *exchange);
 struct retry_share_rule exchange_retry_rule(const struct exchange *exchange);
 
 extern const struct attempt_events exchange_attempt_events;
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -11,6 +11,12 @@
  * hundred. */
 #define CANDIDATES_MAX 1024
 
+/* Reports of waiting requests count this long. */
+#define REPORT_FRESH_MS 1000
+/* Part of the bound on a region's shift that one second may use; the bound holds
+ * for windows of two seconds. */
+#define SHIFT_USED_PER_S 0.27
+
 /* The loop has one thread: one set of rows serves every decision. */
 static struct place_candidate candidates[CANDIDATES_MAX];
 static struct server *candidate_servers[CANDIDATES_MAX];
@@ -25,17 +31,17 @@
 	return false;
 }
 
-struct retry_share *exchange_retry_share(const struct exchange *e)
+struct service_state *exchange_service_state(const struct exchange *e)
 {
-	GHashTable *shares = e->proxy->retry_shares;
-	struct retry_share *share =
-		g_hash_table_lookup(shares, e->service->name);
+	GHashTable *states = e->proxy->service_states;
+	struct service_state *state =
+		g_hash_table_lookup(states, e->service->name);
 
-	if (!share) {
-		share = g_new0(struct retry_share, 1);
-		g_hash_table_insert(shares, g_strdup(e->service->name), share);
+	if (!state) {
+		state = g_new0(struct service_state, 1);
+		g_hash_table_insert(states, g_strdup(e->service->name), state);
 	}
-	return share;
+	return state;
 }
 
 struct retry_share_rule exchange_retry_rule(const struct exchange *e)
@@ -93,6 +99,47 @@
 	return gap_ms && now_ms - server->cold_sent_ms >= gap_ms;
 }
 
+/* Whether new requests of this route may go to the server at all. */
+static bool is_open(const struct exchange *e, const struct server *server)
+{
+	return server_usable(server) && in_home(e->route, server) &&
+	       !g_hash_table_contains(e->proxy->evacuated,
+				      server->failure_domain);
+}
+
+void exchange_choose_side(struct exchange *e)
+{
+	const GPtrArray *list =
+		servers_of(e->proxy->servers, e->service->name);
+	struct spill *spill = &exchange_service_state(e)->spill;
+	int64_t now_ms = proxy_now_ms(e->proxy);
+	struct spill_view view = {
+		.region_vms = MAX(vms_in(e->proxy->vms, e->proxy->region), 1),
+		.domain_share = topology_share(&e->proxy->topology,
+					       e->proxy->region),
+		.service_ms_assumed = e->route->target_latency_ms / 2,
+	};
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		const struct server *server = g_ptr_array_index(list, i);
+
+		if (!is_open(e, server) || server->cold_until_ms > now_ms)
+			continue;
+		if (server->region == e->proxy->region) {
+			view.near_slots += server->load.slots;
+			if (now_ms - server->load.reported_ms < REPORT_FRESH_MS)
+				view.near_waiting += server->load.waiting;
+		} else {
+			view.far_slots += server->load.slots;
+			view.far_load += load_estimate(&server->load, now_ms);
+		}
+	}
+	spill_request(spill, &view,
+		      e->proxy->bounds.shift_max * SHIFT_USED_PER_S, now_ms);
+	e->away = spill_goes_away(spill, e->object_hash);
+}
+
 static uint32_t collect(const struct exchange *e, int64_t now_ms)
 {
 	const GPtrArray *list =
@@ -104,10 +151,7 @@
 		struct server *server = g_ptr_array_index(list, i);
 		struct place_candidate *row = &candidates[count];
 
-		if (!server_usable(server) || exchange_has_tried(e, server) ||
-		    !in_home(e->route, server) ||
-		    g_hash_table_contains(e->proxy->evacuated,
-					  server->failure_domain))
+		if (exchange_has_tried(e, server) || !is_open(e, server))
 			continue;
 		candidate_servers[count] = server;
 		row->server_hash = server->hash;
@@ -140,6 +184,7 @@
 	struct place_request request = {
 		.object_hash = e->object_hash,
 		.sticky = e->route->sticky,
+		.away = e->away,
 		.service_time_ms = e->route->target_latency_ms / 2,
 		.time_left_ms = e->deadline_ms > now_ms ?
 					(uint32_t)(e->deadline_ms - now_ms) :
@@ -147,6 +192,7 @@
 	};
 	struct place_choice choice =
 		place_choose(candidates, count, &request);
+	const struct spill *spill = &exchange_service_state(e)->spill;
 
 	if (choice.verdict != PLACE_SEND) {
 		e->wait_ms = choice.wait_ms;
@@ -157,12 +203,14 @@
 		return;
 	}
 	log_info("place", "request is sent request=%s route=%s service=%s "
-		 "server=%s load=%u slots=%u near=%d candidates=%u "
+		 "object=%016" PRIx64 " server=%s load=%u slots=%u near=%d away=%d share=%.2f "
+		 "rate_per_s=%.1f service_ms=%.0f candidates=%u "
 		 "report_age_ms=%" PRId64 " left_ms=%u again=%s",
-		 e->id, e->route->name, e->service->name,
+		 e->id, e->route->name, e->service->name, e->object_hash,
 		 candidate_servers[choice.index]->id,
 		 candidates[choice.index].load, candidates[choice.index].slots,
-		 candidates[choice.index].near, count,
+		 candidates[choice.index].near, e->away, spill->share,
+		 spill->rate_per_s, spill->service_ms, count,
 		 candidate_servers[choice.index]->load.reported_ms ?
 			 now_ms - candidate_servers[choice.index]
 					  ->load.reported_ms :
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -139,7 +139,7 @@
 	proxy->region = g_intern_string(settings->region);
 	proxy->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	proxy->retry_shares =
+	proxy->service_states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	proxy->servers = servers_new(proxy->clock, &proxy->topology);
 	proxy->vms = vms_new(&proxy->topology);
@@ -173,7 +173,7 @@
 		evconnlistener_free(entry->requests);
 	vms_free(proxy->vms);
 	servers_free(proxy->servers);
-	g_hash_table_destroy(proxy->retry_shares);
+	g_hash_table_destroy(proxy->service_states);
 	g_hash_table_destroy(proxy->evacuated);
 	config_release(proxy->config);
 	event_base_free(proxy->base);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "decide/retry_share.h"
+#include "decide/spill.h"
 #include "fleet/bounds_defs.h"
 #include "fleet/config.h"
 #include "fleet/servers.h"
@@ -22,6 +23,12 @@
 
 struct belief;
 
+/** What this VM keeps for each service, beside its servers. */
+struct service_state {
+	struct retry_share retries;
+	struct spill spill;
+};
+
 struct proxy {
 	struct event_base *base;
 	const struct clock *clock;
@@ -34,7 +41,7 @@
 	struct servers *servers;
 	struct vms *vms;
 	struct belief *belief;
-	GHashTable *retry_shares; /**< service name to struct retry_share */
+	GHashTable *service_states; /**< name to struct service_state */
 	GQueue callers;		  /**< open connections of callers */
 	uint32_t exchanges;	  /**< requests in progress */
 	uint64_t body_bytes;	  /**< held for requests in progress */
