feat(decide): bounded queues, own failure domain first, refusal at once

Answers crossed failure domains for no gain.

Solution: a server gets a request only if its queue still lets it answer in the route's target time (less urgent routes give way first); what finds no such server is refused at once. Objects stay in the VM's failure domain as far as it has room, then in its region, then leave it.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -3,18 +3,30 @@
 #include <math.h>
 #include <xxhash.h>
 
-/* Groups of candidates, best first. A request leaves a group only when nobody
- * in it can take it. */
-enum group {
-	GROUP_PREFERRED_ROOM,
-	GROUP_PREFERRED_AVOIDED,
-	GROUP_PREFERRED_FULL,
-	GROUP_OTHER_ROOM,
-	GROUP_OTHER_AVOIDED,
-	GROUP_OTHER_FULL,
-	GROUP_NONE,
+/* Classes of candidates, best first: a request moves on to the next class only
+ * when no queue in one is short enough. Distance counts before soundness as
+ * far as the region goes: an avoided server is tried before another region. */
+enum class {
+	CLASS_SOUND = 0, /* plus the distance from the tier that is wanted */
+	CLASS_AVOIDED = PLACE_TIERS,
+	CLASS_COLD = 2 * PLACE_TIERS,
+	CLASS_NONE = 3 * PLACE_TIERS,
 };
 
+/* Order in which tiers are tried, by the tier that is wanted. */
+static const uint32_t distance[PLACE_TIERS][PLACE_TIERS] = {
+	[PLACE_DOMAIN] = { 0, 1, 2 },
+	[PLACE_REGION] = { 1, 0, 2 },
+	[PLACE_FAR] = { 2, 1, 0 },
+};
+
+uint32_t place_wait_ms(uint32_t load, uint32_t slots, uint32_t service_ms)
+{
+	if (load < slots)
+		return 0;
+	return (uint32_t)((uint64_t)(load - slots + 1) * service_ms / slots);
+}
+
 /* Weighted rendezvous hashing: the share of objects that a server comes first
  * for is its share of the slots. */
 static double rank_score(uint64_t object_hash,
@@ -27,41 +39,24 @@
 	return -(double)candidate->slots / log(unit);
 }
 
-static uint32_t wait_ms(const struct place_candidate *candidate,
-			uint32_t service_time_ms)
-{
-	uint32_t ahead;
-
-	if (candidate->load < candidate->slots)
-		return 0;
-	ahead = candidate->load - candidate->slots + 1;
-	return (uint32_t)((uint64_t)ahead * service_time_ms / candidate->slots);
-}
-
-static enum group group_of(const struct place_candidate *candidate,
-			   const struct place_request *request)
+static uint32_t class_of(const struct place_candidate *candidate,
+			 const struct place_request *request)
 {
-	bool preferred = candidate->near != request->away;
-	enum group group;
+	uint32_t class = distance[request->tier][candidate->tier];
 
 	if (candidate->barred || !candidate->slots)
-		return GROUP_NONE;
-	if (candidate->load >= candidate->slots)
-		group = GROUP_PREFERRED_FULL;
-	else if (candidate->avoid)
-		group = GROUP_PREFERRED_AVOIDED;
-	else
-		group = GROUP_PREFERRED_ROOM;
-	return preferred ? group : group + GROUP_OTHER_ROOM;
+		return CLASS_NONE;
+	if (candidate->tier == PLACE_FAR && request->tier != PLACE_FAR &&
+	    !request->far_allowed)
+		return CLASS_NONE;
+	if (candidate->cold)
+		return class + CLASS_COLD;
+	return class + (candidate->avoid ? CLASS_AVOIDED : CLASS_SOUND);
 }
 
-/* Larger is better within one group. */
 static double score_of(const struct place_candidate *candidate,
-		       const struct place_request *request, enum group group)
+		       const struct place_request *request)
 {
-	if (group == GROUP_PREFERRED_FULL || group == GROUP_OTHER_FULL)
-		return -(double)wait_ms(candidate, request->service_time_ms) -
-		       (candidate->avoid ? request->time_left_ms : 0);
 	if (request->sticky)
 		return rank_score(request->object_hash, candidate);
 	return -(double)candidate->load / candidate->slots;
@@ -71,30 +66,44 @@
 				 uint32_t count,
 				 const struct place_request *request)
 {
-	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
-	enum group best_group = GROUP_NONE;
+	struct place_choice choice = { PLACE_NO_SERVER, 0, UINT32_MAX };
+	uint32_t best_class = CLASS_NONE;
+	uint32_t least_wait_ms = UINT32_MAX;
 	double best_score = 0;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		enum group group = group_of(&candidates[i], request);
+		const struct place_candidate *candidate = &candidates[i];
+		uint32_t class = class_of(candidate, request);
+		uint32_t wait_ms;
 		double score;
 
-		if (group == GROUP_NONE || group > best_group)
+		if (class == CLASS_NONE)
+			continue;
+		wait_ms = place_wait_ms(candidate->load, candidate->slots,
+					request->service_ms);
+		if (wait_ms < least_wait_ms)
+			least_wait_ms = wait_ms;
+		if (wait_ms > request->wait_max_ms ||
+		    wait_ms + request->service_ms > request->time_left_ms)
 			continue;
-		score = score_of(&candidates[i], request, group);
-		if (group == best_group && score <= best_score)
+		if (class > best_class)
 			continue;
-		best_group = group;
+		score = score_of(candidate, request);
+		if (class == best_class && score <= best_score)
+			continue;
+		best_class = class;
 		best_score = score;
-		choice.verdict = PLACE_SEND;
 		choice.index = i;
+		choice.wait_ms = wait_ms;
 	}
-	if (choice.verdict != PLACE_SEND)
-		return choice;
-	choice.wait_ms = wait_ms(&candidates[choice.index],
-				 request->service_time_ms);
-	if (choice.wait_ms + request->service_time_ms > request->time_left_ms)
+	if (best_class != CLASS_NONE) {
+		choice.verdict = PLACE_SEND;
+	} else if (least_wait_ms != UINT32_MAX) {
 		choice.verdict = PLACE_NO_ROOM;
+		choice.wait_ms = least_wait_ms;
+	} else {
+		choice.wait_ms = 0;
+	}
 	return choice;
 }
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -6,47 +6,64 @@
 
 /**
  * @file
- * Where a request goes.
+ * Where a request goes, or that it is refused at once.
  *
- * Load pattern: more work than slots unless requests of one object meet the
- * server that handled the object lately. Every entry VM ranks the servers of a
- * service by a hash of object and server, so that all agree without messages;
- * a request goes to the first server in that order that has room, nearest
- * region first. Pure.
+ * Load patterns: more work than slots unless requests of one object meet the
+ * server that handled the object lately; and more work than slots whatever is
+ * done, when long queues make every answer late and then useless.
+ *
+ * Every entry VM ranks the servers of a service by a hash of object and server,
+ * so that all agree without messages. A request goes to the first server in
+ * that order whose queue is short enough for an answer in time. What finds none
+ * is refused before it costs a slot. Pure.
  */
 
+/** How far a server is from this entry VM. */
+enum place_tier {
+	PLACE_DOMAIN, /**< in the same failure domain */
+	PLACE_REGION, /**< in another one of the same region */
+	PLACE_FAR,    /**< in another region */
+	PLACE_TIERS
+};
+
 /** A backend server as the decision sees it. */
 struct place_candidate {
 	uint64_t server_hash;
 	uint32_t slots;
 	uint32_t load; /**< estimated requests running or queued there */
-	bool near;     /**< in this entry VM's region */
-	bool avoid;    /**< fails or is slow: only when nothing else has room */
-	bool barred;   /**< may get no request now */
+	enum place_tier tier;
+	bool cold;   /**< slow for some seconds after its start */
+	bool avoid;  /**< fails or is slow */
+	bool barred; /**< may get no request now */
 };
 
 struct place_request {
 	uint64_t object_hash; /**< equal for all requests of one object */
 	bool sticky;	      /**< the object's server runs it faster */
-	bool away; /**< runs in another region, if one can take it */
-	uint32_t service_time_ms; /**< of one request, expected */
+	enum place_tier tier; /**< where it should run */
+	bool far_allowed;     /**< may leave the region if it has no room */
+	uint32_t service_ms;  /**< time a request runs, expected */
+	uint32_t wait_max_ms; /**< longest wait worth queueing for */
 	uint32_t time_left_ms;
 };
 
 enum place_verdict {
 	PLACE_SEND,	 /**< to `index` */
 	PLACE_NO_SERVER, /**< no candidate may get the request */
-	PLACE_NO_ROOM,	 /**< the wait would outlast the time that is left */
+	PLACE_NO_ROOM,	 /**< every queue is too long */
 };
 
 struct place_choice {
 	enum place_verdict verdict;
 	uint32_t index;
-	uint32_t wait_ms; /**< estimated wait at the chosen server */
+	uint32_t wait_ms; /**< estimated, at the server chosen or least busy */
 };
 
 struct place_choice place_choose(const struct place_candidate *candidates,
 				 uint32_t count,
 				 const struct place_request *request);
 
+/** @return the estimated wait for a slot, in ms. */
+uint32_t place_wait_ms(uint32_t load, uint32_t slots, uint32_t service_ms);
+
 #endif
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_EXCHANGE_INTERNAL_H
 #define PROXY_EXCHANGE_INTERNAL_H
 
+#include "decide/place.h"
 #include "proxy/attempt.h"
 #include "proxy/caller.h"
 #include "proxy/exchange.h"
@@ -33,13 +34,14 @@
 	uint32_t tried_count;
 	uint32_t sends; /* that a server may have begun to handle */
 	enum verdict worst;
-	bool away; /* runs in another region, if one can take it */
+	enum place_tier tier; /* where it should run */
+	uint32_t returning_after_ms; /* time since the caller first asked */
 	bool passing_on; /* the answer is sent while it arrives */
 	uint32_t wait_ms; /* estimated for the place that was refused */
 };
 
-/** Decides whether the request runs in this region or in another. */
-void exchange_choose_side(struct exchange *exchange);
+/** Decides in which failure domain or region the request should run. */
+void exchange_choose_tier(struct exchange *exchange);
 
 /**
  * Chooses a server and sends the request, or refuses it. May end the exchange.
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -11,6 +11,8 @@
  * hundred. */
 #define CANDIDATES_MAX 1024
 
+/* Part of the wait that less urgent routes are given. */
+#define LESS_URGENT_SHARE 0.6
 /* Reports of waiting requests count this long. */
 #define REPORT_FRESH_MS 1000
 /* Part of the bound on a region's shift that one second may use; the bound holds
@@ -107,37 +109,75 @@
 				      server->failure_domain);
 }
 
-void exchange_choose_side(struct exchange *e)
+static enum place_tier tier_of(const struct proxy *proxy,
+			       const char *failure_domain, const char *region)
 {
-	const GPtrArray *list =
-		servers_of(e->proxy->servers, e->service->name);
+	if (failure_domain == proxy->failure_domain)
+		return PLACE_DOMAIN;
+	return region == proxy->region ? PLACE_REGION : PLACE_FAR;
+}
+
+/* The row of a failure domain of this region; the own one is the first. */
+static struct spill_domain *domain_row(struct spill_view *view,
+				       const char **names, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->domain_count; i++)
+		if (names[i] == name)
+			return &view->domains[i];
+	if (view->domain_count == SPILL_DOMAINS_MAX)
+		return &view->domains[SPILL_DOMAINS_MAX - 1];
+	names[view->domain_count] = name;
+	return &view->domains[view->domain_count++];
+}
+
+static void view_server(const struct exchange *e, const struct server *server,
+			struct spill_view *view, const char **names,
+			int64_t now_ms)
+{
+	if (!is_open(e, server) || server->cold_until_ms > now_ms)
+		return;
+	if (server->region != e->proxy->region) {
+		view->far_slots += server->load.slots;
+		view->far_load += load_estimate(&server->load, now_ms);
+		return;
+	}
+	domain_row(view, names, server->failure_domain)->slots +=
+		server->load.slots;
+	if (now_ms - server->load.reported_ms < REPORT_FRESH_MS)
+		view->region_waiting += server->load.waiting;
+}
+
+void exchange_choose_tier(struct exchange *e)
+{
+	const struct proxy *proxy = e->proxy;
+	const GPtrArray *list = servers_of(proxy->servers, e->service->name);
+	const GPtrArray *vms = vms_all(proxy->vms);
 	struct spill *spill = &exchange_service_state(e)->spill;
-	int64_t now_ms = proxy_now_ms(e->proxy);
+	const char *names[SPILL_DOMAINS_MAX] = { proxy->failure_domain };
+	int64_t now_ms = proxy_now_ms(proxy);
 	struct spill_view view = {
-		.region_vms = MAX(vms_in(e->proxy->vms, e->proxy->region), 1),
-		.domain_share = topology_share(&e->proxy->topology,
-					       e->proxy->region),
+		.domain_count = 1,
+		.domain_share =
+			topology_share(&proxy->topology, proxy->region),
 		.service_ms_assumed = e->route->target_latency_ms / 2,
 	};
 	guint i;
 
-	for (i = 0; i < list->len; i++) {
-		const struct server *server = g_ptr_array_index(list, i);
+	for (i = 0; i < list->len; i++)
+		view_server(e, g_ptr_array_index(list, i), &view, names,
+			    now_ms);
+	for (i = 0; i < vms->len; i++) {
+		const struct vm *vm = g_ptr_array_index(vms, i);
 
-		if (!is_open(e, server) || server->cold_until_ms > now_ms)
-			continue;
-		if (server->region == e->proxy->region) {
-			view.near_slots += server->load.slots;
-			if (now_ms - server->load.reported_ms < REPORT_FRESH_MS)
-				view.near_waiting += server->load.waiting;
-		} else {
-			view.far_slots += server->load.slots;
-			view.far_load += load_estimate(&server->load, now_ms);
-		}
+		if (vm->region == proxy->region)
+			domain_row(&view, names, vm->failure_domain)->vms++;
 	}
+	view.domains[0].vms = MAX(view.domains[0].vms, 1);
 	spill_request(spill, &view,
-		      e->proxy->bounds.shift_max * SHIFT_USED_PER_S, now_ms);
-	e->away = spill_goes_away(spill, e->object_hash);
+		      proxy->bounds.shift_max * SHIFT_USED_PER_S, now_ms);
+	e->tier = spill_tier(spill, e->object_hash);
 }
 
 static uint32_t collect(const struct exchange *e, int64_t now_ms)
@@ -157,7 +197,9 @@
 		row->server_hash = server->hash;
 		row->slots = server->load.slots;
 		row->load = load_estimate(&server->load, now_ms);
-		row->near = server->region == e->proxy->region;
+		row->tier = tier_of(e->proxy, server->failure_domain,
+				    server->region);
+		row->cold = server->cold_until_ms > now_ms;
 		row->avoid = server->avoid_until_ms > now_ms;
 		row->barred = !bears_one_more(e, server, now_ms);
 		count++;
@@ -165,6 +207,23 @@
 	return count;
 }
 
+static bool is_most_urgent(const struct exchange *e)
+{
+	uint32_t i;
+	uint32_t part;
+
+	for (i = 0; i < e->config->route_count; i++) {
+		const struct route *other = &e->config->routes[i];
+
+		if (other->priority >= e->route->priority)
+			continue;
+		for (part = 0; part < other->part_count; part++)
+			if (other->parts[part].service == e->service)
+				return false;
+	}
+	return true;
+}
+
 static void send_to(struct exchange *e, struct server *server, int64_t now_ms)
 {
 	if (server->cold_until_ms > now_ms)
@@ -177,22 +236,59 @@
 			      "no-connection");
 }
 
+/* Longest wait at a server after which the answer still comes in the route's
+ * target time. Callers of less urgent routes give way first. */
+static uint32_t wait_max_ms(const struct exchange *e, uint32_t service_ms)
+{
+	uint32_t target_ms = e->route->target_latency_ms;
+	uint32_t room_ms;
+
+	if (e->returning_after_ms >= target_ms)
+		return 0;
+	target_ms -= e->returning_after_ms;
+	room_ms = target_ms > service_ms ? target_ms - service_ms : 0;
+	return is_most_urgent(e) ? room_ms :
+				   (uint32_t)(room_ms * LESS_URGENT_SHARE);
+}
+
+static void log_send(const struct exchange *e, uint32_t index, uint32_t count,
+		     const struct place_request *request, const char *why_again)
+{
+	const struct server *server = candidate_servers[index];
+	const struct spill *spill = &exchange_service_state(e)->spill;
+	int64_t reported_ms = server->load.reported_ms;
+
+	log_info("place", "request is sent request=%s route=%s service=%s "
+		 "object=%016" PRIx64 " server=%s load=%u slots=%u tier=%d "
+		 "wanted=%d inside=%.2f away=%.2f rate_per_s=%.1f "
+		 "service_ms=%u wait_max_ms=%u candidates=%u "
+		 "report_age_ms=%" PRId64 " left_ms=%u again=%s",
+		 e->id, e->route->name, e->service->name, e->object_hash,
+		 server->id, candidates[index].load, candidates[index].slots,
+		 candidates[index].tier, e->tier, spill->inside, spill->away,
+		 spill->rate_per_s, request->service_ms, request->wait_max_ms,
+		 count, reported_ms ? proxy_now_ms(e->proxy) - reported_ms : -1,
+		 request->time_left_ms, why_again ? why_again : "-");
+}
+
 void exchange_place(struct exchange *e, const char *why_again)
 {
 	int64_t now_ms = proxy_now_ms(e->proxy);
 	uint32_t count = collect(e, now_ms);
+	uint32_t service_ms =
+		(uint32_t)exchange_service_state(e)->spill.service_ms;
 	struct place_request request = {
 		.object_hash = e->object_hash,
 		.sticky = e->route->sticky,
-		.away = e->away,
-		.service_time_ms = e->route->target_latency_ms / 2,
+		.tier = e->tier,
+		.service_ms = service_ms,
+		.wait_max_ms = wait_max_ms(e, service_ms),
 		.time_left_ms = e->deadline_ms > now_ms ?
 					(uint32_t)(e->deadline_ms - now_ms) :
 					0,
 	};
 	struct place_choice choice =
 		place_choose(candidates, count, &request);
-	const struct spill *spill = &exchange_service_state(e)->spill;
 
 	if (choice.verdict != PLACE_SEND) {
 		e->wait_ms = choice.wait_ms;
@@ -202,20 +298,7 @@
 								"no-server");
 		return;
 	}
-	log_info("place", "request is sent request=%s route=%s service=%s "
-		 "object=%016" PRIx64 " server=%s load=%u slots=%u near=%d away=%d share=%.2f "
-		 "rate_per_s=%.1f service_ms=%.0f candidates=%u "
-		 "report_age_ms=%" PRId64 " left_ms=%u again=%s",
-		 e->id, e->route->name, e->service->name, e->object_hash,
-		 candidate_servers[choice.index]->id,
-		 candidates[choice.index].load, candidates[choice.index].slots,
-		 candidates[choice.index].near, e->away, spill->share,
-		 spill->rate_per_s, spill->service_ms, count,
-		 candidate_servers[choice.index]->load.reported_ms ?
-			 now_ms - candidate_servers[choice.index]
-					  ->load.reported_ms :
-			 -1,
-		 request.time_left_ms, why_again ? why_again : "-");
+	log_send(e, choice.index, count, &request, why_again);
 	if (why_again)
 		counter_add(COUNTER_RETRIES, 1);
 	send_to(e, candidate_servers[choice.index], now_ms);
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -137,6 +137,7 @@
 	proxy->topology.domains = settings->domains;
 	proxy->topology.domain_count = settings->domain_count;
 	proxy->region = g_intern_string(settings->region);
+	proxy->failure_domain = g_intern_string(settings->failure_domain);
 	proxy->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	proxy->service_states =
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -35,7 +35,8 @@
 	const struct proxy_settings *settings;
 	struct bounds bounds;
 	struct topology topology;
-	const char *region; /**< of this VM, interned */
+	const char *region;	    /**< of this VM, interned */
+	const char *failure_domain; /**< of this VM, interned */
 	struct config *config; /**< in force; NULL until one was read */
 	GHashTable *evacuated; /**< names of failure domains */
 	struct servers *servers;
