feat(decide): an object goes to two servers of a tier at most

Shares were planned with the mean time of a request, slow first ones included.

Solution: an object has two servers in each tier; shares are planned with the time of the faster answers.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -1,17 +1,16 @@
 #include "decide/place.h"
 
 #include <math.h>
+#include <string.h>
 #include <xxhash.h>
 
-/* Classes of candidates, best first: a request moves on to the next class only
- * when no queue in one is short enough. Distance counts before soundness as
- * far as the region goes: an avoided server is tried before another region. */
-enum class {
-	CLASS_SOUND = 0, /* plus the distance from the tier that is wanted */
-	CLASS_AVOIDED = PLACE_TIERS,
-	CLASS_COLD = 2 * PLACE_TIERS,
-	CLASS_NONE = 3 * PLACE_TIERS,
-};
+/* Kinds of candidates, best first; within each, tiers by distance from the one
+ * that is wanted. A request moves on only when nothing has room. */
+enum kind { KIND_SOUND, KIND_AVOIDED, KIND_COLD, KINDS };
+
+/* Servers of one tier that an object is sent to. More would make each server
+ * know more objects than it keeps, and all of them slow. */
+#define SERVERS_OF_OBJECT 2
 
 /* Order in which tiers are tried, by the tier that is wanted. */
 static const uint32_t distance[PLACE_TIERS][PLACE_TIERS] = {
@@ -39,19 +38,20 @@
 	return -(double)candidate->slots / log(unit);
 }
 
-static uint32_t class_of(const struct place_candidate *candidate,
-			 const struct place_request *request)
+static bool is_eligible(const struct place_candidate *candidate,
+			const struct place_request *request)
 {
-	uint32_t class = distance[request->tier][candidate->tier];
-
 	if (candidate->barred || !candidate->slots)
-		return CLASS_NONE;
-	if (candidate->tier == PLACE_FAR && request->tier != PLACE_FAR &&
-	    !request->far_allowed)
-		return CLASS_NONE;
+		return false;
+	return candidate->tier != PLACE_FAR || request->tier == PLACE_FAR ||
+	       request->far_allowed;
+}
+
+static enum kind kind_of(const struct place_candidate *candidate)
+{
 	if (candidate->cold)
-		return class + CLASS_COLD;
-	return class + (candidate->avoid ? CLASS_AVOIDED : CLASS_SOUND);
+		return KIND_COLD;
+	return candidate->avoid ? KIND_AVOIDED : KIND_SOUND;
 }
 
 static double score_of(const struct place_candidate *candidate,
@@ -62,48 +62,84 @@
 	return -(double)candidate->load / candidate->slots;
 }
 
+/* The best candidates of one group, best first. */
+struct shortlist {
+	uint32_t indices[SERVERS_OF_OBJECT];
+	double scores[SERVERS_OF_OBJECT];
+	uint32_t count;
+};
+
+static void shortlist_add(struct shortlist *list, uint32_t index, double score)
+{
+	uint32_t at = list->count;
+
+	while (at && score > list->scores[at - 1])
+		at--;
+	if (at == SERVERS_OF_OBJECT)
+		return;
+	if (list->count < SERVERS_OF_OBJECT)
+		list->count++;
+	memmove(&list->indices[at + 1], &list->indices[at],
+		(list->count - 1 - at) * sizeof(list->indices[0]));
+	memmove(&list->scores[at + 1], &list->scores[at],
+		(list->count - 1 - at) * sizeof(list->scores[0]));
+	list->indices[at] = index;
+	list->scores[at] = score;
+}
+
+/* Takes the first of a group whose queue is short enough. */
+static bool take(const struct shortlist *list,
+		 const struct place_candidate *candidates,
+		 const struct place_request *request,
+		 struct place_choice *choice)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		const struct place_candidate *candidate =
+			&candidates[list->indices[i]];
+		uint32_t wait_ms =
+			place_wait_ms(candidate->load, candidate->slots,
+				      request->service_ms);
+
+		if (choice->verdict == PLACE_NO_SERVER ||
+		    wait_ms < choice->wait_ms)
+			choice->wait_ms = wait_ms;
+		choice->verdict = PLACE_NO_ROOM;
+		if (wait_ms > request->wait_max_ms ||
+		    wait_ms + request->service_ms > request->time_left_ms)
+			continue;
+		choice->verdict = PLACE_SEND;
+		choice->index = list->indices[i];
+		choice->wait_ms = wait_ms;
+		return true;
+	}
+	return false;
+}
+
 struct place_choice place_choose(const struct place_candidate *candidates,
 				 uint32_t count,
 				 const struct place_request *request)
 {
-	struct place_choice choice = { PLACE_NO_SERVER, 0, UINT32_MAX };
-	uint32_t best_class = CLASS_NONE;
-	uint32_t least_wait_ms = UINT32_MAX;
-	double best_score = 0;
+	struct shortlist groups[KINDS][PLACE_TIERS] = { 0 };
+	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
+	uint32_t kind;
+	uint32_t at;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		const struct place_candidate *candidate = &candidates[i];
-		uint32_t class = class_of(candidate, request);
-		uint32_t wait_ms;
-		double score;
 
-		if (class == CLASS_NONE)
-			continue;
-		wait_ms = place_wait_ms(candidate->load, candidate->slots,
-					request->service_ms);
-		if (wait_ms < least_wait_ms)
-			least_wait_ms = wait_ms;
-		if (wait_ms > request->wait_max_ms ||
-		    wait_ms + request->service_ms > request->time_left_ms)
-			continue;
-		if (class > best_class)
-			continue;
-		score = score_of(candidate, request);
-		if (class == best_class && score <= best_score)
-			continue;
-		best_class = class;
-		best_score = score;
-		choice.index = i;
-		choice.wait_ms = wait_ms;
-	}
-	if (best_class != CLASS_NONE) {
-		choice.verdict = PLACE_SEND;
-	} else if (least_wait_ms != UINT32_MAX) {
-		choice.verdict = PLACE_NO_ROOM;
-		choice.wait_ms = least_wait_ms;
-	} else {
-		choice.wait_ms = 0;
+		if (is_eligible(candidate, request))
+			shortlist_add(&groups[kind_of(candidate)]
+					     [distance[request->tier]
+						      [candidate->tier]],
+				      i, score_of(candidate, request));
 	}
+	for (kind = 0; kind < KINDS; kind++)
+		for (at = 0; at < PLACE_TIERS; at++)
+			if (take(&groups[kind][at], candidates, request,
+				 &choice))
+				return choice;
 	return choice;
 }
--- a/src/decide/spill.c
+++ b/src/decide/spill.c
@@ -21,8 +21,12 @@
 /* Objects that change failure domain within the region in a second. Each has to
  * be learnt anew by its server. */
 #define INSIDE_STEP_PER_S 0.1
-/* Part of the average that one answer changes. */
-#define ANSWER_WEIGHT 0.02
+/* The time a request runs is taken from the faster answers: planning with the
+ * slow first requests of each object would scatter objects, and keep all of them
+ * slow. */
+#define ANSWER_QUANTILE 0.4
+/* Part of the estimate that one answer changes at most. */
+#define ANSWER_WEIGHT 0.05
 /* Apart from the hash that ranks servers, so that the objects that leave come
  * from all of them. */
 #define OBJECT_SEED 0x5b111
@@ -154,9 +158,12 @@
 
 void spill_answer(struct spill *spill, int64_t ran_ms)
 {
-	if (spill->service_ms > 0)
-		spill->service_ms +=
-			ANSWER_WEIGHT * ((double)ran_ms - spill->service_ms);
+	double step = ANSWER_WEIGHT * spill->service_ms;
+
+	/* rests where ANSWER_QUANTILE of the answers are faster */
+	spill->service_ms += (double)ran_ms > spill->service_ms ?
+				     step * ANSWER_QUANTILE :
+				     -step * (1 - ANSWER_QUANTILE);
 }
 
 enum place_tier spill_tier(const struct spill *spill, uint64_t object_hash)
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -125,6 +125,7 @@
 	e->id = strdup(meta.id ? meta.id : "");
 	e->method = strdup(head->method);
 	e->object_hash = hash_object(e, &meta);
+	e->has_object = meta.object != NULL;
 	e->head = evbuffer_new();
 	e->body = evbuffer_new();
 	e->timer = evtimer_new(proxy->base, on_deadline, e);
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -20,6 +20,7 @@
 	char *id;
 	char *method;
 	uint64_t object_hash;
+	bool has_object; /* the caller told what the request concerns */
 	struct evbuffer *head;
 	struct evbuffer *body;
 	uint64_t body_bytes_max;
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -279,7 +279,7 @@
 		(uint32_t)exchange_service_state(e)->spill.service_ms;
 	struct place_request request = {
 		.object_hash = e->object_hash,
-		.sticky = e->route->sticky,
+		.sticky = e->route->sticky && e->has_object,
 		.tier = e->tier,
 		.service_ms = service_ms,
 		.wait_max_ms = wait_max_ms(e, service_ms),
