feat(decide): one server of a tier for an object; what requests run is known by three points

Problem: with two servers for an object in each tier, overflow still spread objects over servers that then forgot them.

Solution: one server in each tier. A first request of an object at a server is only queued where its slow run still fits the time left.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -10,7 +10,7 @@
 
 /* Servers of one tier that an object is sent to. More would make each server
  * know more objects than it keeps, and all of them slow. */
-#define SERVERS_OF_OBJECT 2
+#define SERVERS_OF_OBJECT 1
 
 /* Order in which tiers are tried, by the tier that is wanted. */
 static const uint32_t distance[PLACE_TIERS][PLACE_TIERS] = {
@@ -87,10 +87,18 @@
 	list->scores[at] = score;
 }
 
-/* Takes the first of a group whose queue is short enough. */
+static uint32_t wait_at(const struct place_candidate *candidate,
+			const struct place_request *request)
+{
+	return place_wait_ms(candidate->load, candidate->slots,
+			     request->typical_ms);
+}
+
+/* Takes the server of a group that has the shortest queue, the first in rank
+ * when several are free, if the answer comes in time. */
 static bool take(const struct shortlist *list,
 		 const struct place_candidate *candidates,
-		 const struct place_request *request,
+		 const struct place_request *request, uint32_t wait_max_ms,
 		 struct place_choice *choice)
 {
 	uint32_t i;
@@ -98,22 +106,41 @@
 	for (i = 0; i < list->count; i++) {
 		const struct place_candidate *candidate =
 			&candidates[list->indices[i]];
-		uint32_t wait_ms =
-			place_wait_ms(candidate->load, candidate->slots,
-				      request->service_ms);
+		uint32_t wait_ms = wait_at(candidate, request);
+		uint32_t runs_ms = candidate->known || !request->sticky ?
+					   request->typical_ms :
+					   request->slow_ms;
 
-		if (choice->verdict == PLACE_NO_SERVER ||
+		if (choice->verdict == PLACE_NO_SERVER) {
+			choice->verdict = PLACE_NO_ROOM;
+			choice->wait_ms = wait_ms;
+		}
+		if (choice->verdict == PLACE_NO_ROOM &&
 		    wait_ms < choice->wait_ms)
 			choice->wait_ms = wait_ms;
-		choice->verdict = PLACE_NO_ROOM;
-		if (wait_ms > request->wait_max_ms ||
-		    wait_ms + request->service_ms > request->time_left_ms)
+		if (wait_ms > wait_max_ms ||
+		    (wait_ms && wait_ms + runs_ms > request->time_left_ms))
+			continue;
+		if (choice->verdict == PLACE_SEND && wait_ms >= choice->wait_ms)
 			continue;
 		choice->verdict = PLACE_SEND;
 		choice->index = list->indices[i];
 		choice->wait_ms = wait_ms;
-		return true;
+		break;
 	}
+	return choice->verdict == PLACE_SEND;
+}
+
+static bool take_nearest(struct shortlist groups[PLACE_TIERS],
+			 const struct place_candidate *candidates,
+			 const struct place_request *request,
+			 uint32_t wait_max_ms, struct place_choice *choice)
+{
+	uint32_t at;
+
+	for (at = 0; at < PLACE_TIERS; at++)
+		if (take(&groups[at], candidates, request, wait_max_ms, choice))
+			return true;
 	return false;
 }
 
@@ -124,7 +151,6 @@
 	struct shortlist groups[KINDS][PLACE_TIERS] = { 0 };
 	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
 	uint32_t kind;
-	uint32_t at;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
@@ -137,9 +163,8 @@
 				      i, score_of(candidate, request));
 	}
 	for (kind = 0; kind < KINDS; kind++)
-		for (at = 0; at < PLACE_TIERS; at++)
-			if (take(&groups[kind][at], candidates, request,
-				 &choice))
-				return choice;
+		if (take_nearest(groups[kind], candidates, request,
+				 request->wait_max_ms, &choice))
+			return choice;
 	return choice;
 }
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -32,6 +32,7 @@
 	uint32_t slots;
 	uint32_t load; /**< estimated requests running or queued there */
 	enum place_tier tier;
+	bool known;  /**< has lately answered for the object */
 	bool cold;   /**< slow for some seconds after its start */
 	bool avoid;  /**< fails or is slow */
 	bool barred; /**< may get no request now */
@@ -42,7 +43,8 @@
 	bool sticky;	      /**< the object's server runs it faster */
 	enum place_tier tier; /**< where it should run */
 	bool far_allowed;     /**< may leave the region if it has no room */
-	uint32_t service_ms;  /**< time a request runs, expected */
+	uint32_t typical_ms;  /**< time a request runs, usually */
+	uint32_t slow_ms;     /**< the same, where the object is not known */
 	uint32_t wait_max_ms; /**< longest wait worth queueing for */
 	uint32_t time_left_ms;
 };
--- a/src/decide/spill.c
+++ b/src/decide/spill.c
@@ -21,12 +21,6 @@
 /* Objects that change failure domain within the region in a second. Each has to
  * be learnt anew by its server. */
 #define INSIDE_STEP_PER_S 0.1
-/* The time a request runs is taken from the faster answers: planning with the
- * slow first requests of each object would scatter objects, and keep all of them
- * slow. */
-#define ANSWER_QUANTILE 0.4
-/* Part of the estimate that one answer changes at most. */
-#define ANSWER_WEIGHT 0.05
 /* Apart from the hash that ranks servers, so that the objects that leave come
  * from all of them. */
 #define OBJECT_SEED 0x5b111
@@ -119,7 +113,7 @@
 	double away_step = lost ? 1 : shift_max_per_s * passed_s;
 	double inside_step = lost ? 1 : INSIDE_STEP_PER_S * passed_s;
 	struct shares target = shares_for(
-		view, spill->rate_per_s * spill->service_ms / (double)MS_PER_S,
+		view, spill->rate_per_s * view->fast_ms / (double)MS_PER_S,
 		spill->away);
 
 	if (view->region_waiting > WAITING_MAX * spill->region_slots &&
@@ -144,7 +138,6 @@
 		spill->away = first.away;
 		spill->inside = first.inside;
 		spill->began_ms = now_ms;
-		spill->service_ms = view->service_ms_assumed;
 		passed_ms = 0;
 		lost = false;
 	}
@@ -156,16 +149,6 @@
 		       shift_max_per_s, lost);
 }
 
-void spill_answer(struct spill *spill, int64_t ran_ms)
-{
-	double step = ANSWER_WEIGHT * spill->service_ms;
-
-	/* rests where ANSWER_QUANTILE of the answers are faster */
-	spill->service_ms += (double)ran_ms > spill->service_ms ?
-				     step * ANSWER_QUANTILE :
-				     -step * (1 - ANSWER_QUANTILE);
-}
-
 enum place_tier spill_tier(const struct spill *spill, uint64_t object_hash)
 {
 	uint64_t hash = XXH3_64bits_withSeed(&object_hash, sizeof(object_hash),
--- a/src/decide/spill.h
+++ b/src/decide/spill.h
@@ -27,7 +27,6 @@
 	double rate_per_s; /**< of this entry VM's requests, smoothed */
 	double counted;	   /**< requests, older ones counting less */
 	double counted_ms; /**< time in which they came, likewise */
-	double service_ms; /**< time a request runs, smoothed; 0: unknown */
 	uint32_t region_slots;
 	int64_t began_ms;
 	int64_t updated_ms; /**< 0: no request yet */
@@ -49,16 +48,13 @@
 	uint32_t far_slots;
 	uint32_t far_load;
 	double domain_share; /**< of all failure domains, those of the region */
-	uint32_t service_ms_assumed; /**< until a request has been answered */
+	double fast_ms; /**< time a request runs whose object is known */
 };
 
 /** Counts one request and lets the shares follow. */
 void spill_request(struct spill *spill, const struct spill_view *view,
 		   double shift_max_per_s, int64_t now_ms);
 
-/** Notes how long a request ran that did not wait at its server. */
-void spill_answer(struct spill *spill, int64_t ran_ms);
-
 /**
  * @return where requests of this object run. Whole objects leave, so that
  * servers here and there know fewer of them.
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -367,15 +367,26 @@
 	}
 }
 
+static void learn_answer(const struct exchange *e, struct server *server,
+			 int64_t took_ms)
+{
+	if (e->has_object)
+		warmth_note(&e->proxy->warmth, e->object_hash, server->hash,
+			    proxy_now_ms(e->proxy));
+	if (server->load.waiting)
+		return;
+	service_time_note(&exchange_service_state(e)->time, took_ms);
+	service_time_note(&exchange_route_state(e)->time, took_ms);
+}
+
 static void on_done(void *context, struct attempt *a, enum attempt_end end)
 {
 	struct exchange *e = context;
 	struct server *server = attempt_server(a);
 
 	learn(e, server, end);
-	if (end == ATTEMPT_ANSWERED && !server->load.waiting)
-		spill_answer(&exchange_service_state(e)->spill,
-			     attempt_age_ms(a));
+	if (end == ATTEMPT_ANSWERED)
+		learn_answer(e, server, attempt_age_ms(a));
 	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
 		e->sends++;
 	e->worst = MAX(e->worst, outcome_verdict(end));
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -61,6 +61,8 @@
 
 /** @return what this VM keeps for the exchange's service. */
 struct service_state *exchange_service_state(const struct exchange *exchange);
+/** @return what this VM keeps for the exchange's route. */
+struct route_state *exchange_route_state(const struct exchange *exchange);
 struct retry_share_rule exchange_retry_rule(const struct exchange *exchange);
 
 extern const struct attempt_events exchange_attempt_events;
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -33,6 +33,25 @@
 	return false;
 }
 
+/* Before answers tell: the operator's target is met with some room. */
+static uint32_t guess_ms(const struct route *route)
+{
+	return route->target_latency_ms / 2;
+}
+
+struct route_state *exchange_route_state(const struct exchange *e)
+{
+	GHashTable *states = e->proxy->route_states;
+	struct route_state *state = g_hash_table_lookup(states, e->route->name);
+
+	if (!state) {
+		state = g_new0(struct route_state, 1);
+		service_time_init(&state->time, guess_ms(e->route));
+		g_hash_table_insert(states, g_strdup(e->route->name), state);
+	}
+	return state;
+}
+
 struct service_state *exchange_service_state(const struct exchange *e)
 {
 	GHashTable *states = e->proxy->service_states;
@@ -41,6 +60,7 @@
 
 	if (!state) {
 		state = g_new0(struct service_state, 1);
+		service_time_init(&state->time, guess_ms(e->route));
 		g_hash_table_insert(states, g_strdup(e->service->name), state);
 	}
 	return state;
@@ -161,7 +181,7 @@
 		.domain_count = 1,
 		.domain_share =
 			topology_share(&proxy->topology, proxy->region),
-		.service_ms_assumed = e->route->target_latency_ms / 2,
+		.fast_ms = exchange_service_state(e)->time.fast_ms,
 	};
 	guint i;
 
@@ -199,6 +219,9 @@
 		row->load = load_estimate(&server->load, now_ms);
 		row->tier = tier_of(e->proxy, server->failure_domain,
 				    server->region);
+		row->known = e->has_object &&
+			     warmth_known(&e->proxy->warmth, e->object_hash,
+					  server->hash, now_ms);
 		row->cold = server->cold_until_ms > now_ms;
 		row->avoid = server->avoid_until_ms > now_ms;
 		row->barred = !bears_one_more(e, server, now_ms);
@@ -261,13 +284,15 @@
 	log_info("place", "request is sent request=%s route=%s service=%s "
 		 "object=%016" PRIx64 " server=%s load=%u slots=%u tier=%d "
 		 "wanted=%d inside=%.2f away=%.2f rate_per_s=%.1f "
-		 "service_ms=%u wait_max_ms=%u candidates=%u "
+		 "fast_ms=%.0f typical_ms=%u slow_ms=%u wait_max_ms=%u "
+		 "known=%d candidates=%u "
 		 "report_age_ms=%" PRId64 " left_ms=%u again=%s",
 		 e->id, e->route->name, e->service->name, e->object_hash,
 		 server->id, candidates[index].load, candidates[index].slots,
 		 candidates[index].tier, e->tier, spill->inside, spill->away,
-		 spill->rate_per_s, request->service_ms, request->wait_max_ms,
-		 count, reported_ms ? proxy_now_ms(e->proxy) - reported_ms : -1,
+		 spill->rate_per_s, exchange_service_state(e)->time.fast_ms,
+		 request->typical_ms, request->slow_ms, request->wait_max_ms,
+		 candidates[index].known, count, reported_ms ? proxy_now_ms(e->proxy) - reported_ms : -1,
 		 request->time_left_ms, why_again ? why_again : "-");
 }
 
@@ -275,14 +300,14 @@
 {
 	int64_t now_ms = proxy_now_ms(e->proxy);
 	uint32_t count = collect(e, now_ms);
-	uint32_t service_ms =
-		(uint32_t)exchange_service_state(e)->spill.service_ms;
+	const struct service_time *time = &exchange_route_state(e)->time;
 	struct place_request request = {
 		.object_hash = e->object_hash,
 		.sticky = e->route->sticky && e->has_object,
 		.tier = e->tier,
-		.service_ms = service_ms,
-		.wait_max_ms = wait_max_ms(e, service_ms),
+		.typical_ms = (uint32_t)time->typical_ms,
+		.slow_ms = (uint32_t)time->slow_ms,
+		.wait_max_ms = wait_max_ms(e, (uint32_t)time->typical_ms),
 		.time_left_ms = e->deadline_ms > now_ms ?
 					(uint32_t)(e->deadline_ms - now_ms) :
 					0,
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -142,6 +142,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	proxy->service_states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	proxy->route_states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	proxy->servers = servers_new(proxy->clock, &proxy->topology);
 	proxy->vms = vms_new(&proxy->topology);
 	if (!open_listeners(entry))
@@ -175,6 +177,7 @@
 	vms_free(proxy->vms);
 	servers_free(proxy->servers);
 	g_hash_table_destroy(proxy->service_states);
+	g_hash_table_destroy(proxy->route_states);
 	g_hash_table_destroy(proxy->evacuated);
 	config_release(proxy->config);
 	event_base_free(proxy->base);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -8,7 +8,9 @@
 
 #include "base/clock.h"
 #include "decide/retry_share.h"
+#include "decide/service_time.h"
 #include "decide/spill.h"
+#include "decide/warmth.h"
 #include "fleet/bounds_defs.h"
 #include "fleet/config.h"
 #include "fleet/servers.h"
@@ -27,6 +29,12 @@
 struct service_state {
 	struct retry_share retries;
 	struct spill spill;
+	struct service_time time;
+};
+
+/** What this VM keeps for each route. */
+struct route_state {
+	struct service_time time;
 };
 
 struct proxy {
@@ -43,6 +51,8 @@
 	struct vms *vms;
 	struct belief *belief;
 	GHashTable *service_states; /**< name to struct service_state */
+	GHashTable *route_states;   /**< name to struct route_state */
+	struct warmth warmth;
 	GQueue callers;		  /**< open connections of callers */
 	uint32_t exchanges;	  /**< requests in progress */
 	uint64_t body_bytes;	  /**< held for requests in progress */
