feat(decide): one server a region for an object

Problem: with one server in each failure domain an object still had several servers, each of which had to learn it.

Solution: servers are ranked over the whole region. Only objects that the region has no room for leave it; a long queue is no reason to.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -4,21 +4,16 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Kinds of candidates, best first; within each, tiers by distance from the one
- * that is wanted. A request moves on only when nothing has room. */
+/* Kinds of candidates, best first; within each, the side of the region's border
+ * that is wanted comes first. A request moves on only when nobody has room. */
 enum kind { KIND_SOUND, KIND_AVOIDED, KIND_COLD, KINDS };
 
-/* Servers of one tier that an object is sent to. More would make each server
+enum side { SIDE_WANTED, SIDE_OTHER, SIDES };
+
+/* Servers on one side that an object is sent to. More would make each server
  * know more objects than it keeps, and all of them slow. */
 #define SERVERS_OF_OBJECT 1
 
-/* Order in which tiers are tried, by the tier that is wanted. */
-static const uint32_t distance[PLACE_TIERS][PLACE_TIERS] = {
-	[PLACE_DOMAIN] = { 0, 1, 2 },
-	[PLACE_REGION] = { 1, 0, 2 },
-	[PLACE_FAR] = { 2, 1, 0 },
-};
-
 uint32_t place_wait_ms(uint32_t load, uint32_t slots, uint32_t service_ms)
 {
 	if (load < slots)
@@ -38,15 +33,6 @@
 	return -(double)candidate->slots / log(unit);
 }
 
-static bool is_eligible(const struct place_candidate *candidate,
-			const struct place_request *request)
-{
-	if (candidate->barred || !candidate->slots)
-		return false;
-	return candidate->tier != PLACE_FAR || request->tier == PLACE_FAR ||
-	       request->far_allowed;
-}
-
 static enum kind kind_of(const struct place_candidate *candidate)
 {
 	if (candidate->cold)
@@ -98,7 +84,7 @@
  * when several are free, if the answer comes in time. */
 static bool take(const struct shortlist *list,
 		 const struct place_candidate *candidates,
-		 const struct place_request *request, uint32_t wait_max_ms,
+		 const struct place_request *request,
 		 struct place_choice *choice)
 {
 	uint32_t i;
@@ -118,7 +104,7 @@
 		if (choice->verdict == PLACE_NO_ROOM &&
 		    wait_ms < choice->wait_ms)
 			choice->wait_ms = wait_ms;
-		if (wait_ms > wait_max_ms ||
+		if (wait_ms > request->wait_max_ms ||
 		    (wait_ms && wait_ms + runs_ms > request->time_left_ms))
 			continue;
 		if (choice->verdict == PLACE_SEND && wait_ms >= choice->wait_ms)
@@ -131,40 +117,35 @@
 	return choice->verdict == PLACE_SEND;
 }
 
-static bool take_nearest(struct shortlist groups[PLACE_TIERS],
-			 const struct place_candidate *candidates,
-			 const struct place_request *request,
-			 uint32_t wait_max_ms, struct place_choice *choice)
-{
-	uint32_t at;
-
-	for (at = 0; at < PLACE_TIERS; at++)
-		if (take(&groups[at], candidates, request, wait_max_ms, choice))
-			return true;
-	return false;
-}
-
 struct place_choice place_choose(const struct place_candidate *candidates,
 				 uint32_t count,
 				 const struct place_request *request)
 {
-	struct shortlist groups[KINDS][PLACE_TIERS] = { 0 };
+	struct shortlist groups[KINDS][SIDES] = { 0 };
 	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
 	uint32_t kind;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		const struct place_candidate *candidate = &candidates[i];
+		enum side side = candidate->near != request->away ?
+					 SIDE_WANTED :
+					 SIDE_OTHER;
 
-		if (is_eligible(candidate, request))
-			shortlist_add(&groups[kind_of(candidate)]
-					     [distance[request->tier]
-						      [candidate->tier]],
-				      i, score_of(candidate, request));
+		if (!candidate->barred && candidate->slots)
+			shortlist_add(&groups[kind_of(candidate)][side], i,
+				      score_of(candidate, request));
 	}
-	for (kind = 0; kind < KINDS; kind++)
-		if (take_nearest(groups[kind], candidates, request,
-				 request->wait_max_ms, &choice))
+	for (kind = 0; kind < KINDS; kind++) {
+		if (take(&groups[kind][SIDE_WANTED], candidates, request,
+			 &choice))
+			return choice;
+		/* what leaves the region is bounded: a long queue is no reason,
+		 * but requests that should leave may stay */
+		if ((request->away || choice.verdict == PLACE_NO_SERVER) &&
+		    take(&groups[kind][SIDE_OTHER], candidates, request,
+			 &choice))
 			return choice;
+	}
 	return choice;
 }
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -18,20 +18,12 @@
  * is refused before it costs a slot. Pure.
  */
 
-/** How far a server is from this entry VM. */
-enum place_tier {
-	PLACE_DOMAIN, /**< in the same failure domain */
-	PLACE_REGION, /**< in another one of the same region */
-	PLACE_FAR,    /**< in another region */
-	PLACE_TIERS
-};
-
 /** A backend server as the decision sees it. */
 struct place_candidate {
 	uint64_t server_hash;
 	uint32_t slots;
 	uint32_t load; /**< estimated requests running or queued there */
-	enum place_tier tier;
+	bool near;   /**< in this entry VM's region */
 	bool known;  /**< has lately answered for the object */
 	bool cold;   /**< slow for some seconds after its start */
 	bool avoid;  /**< fails or is slow */
@@ -41,8 +33,7 @@
 struct place_request {
 	uint64_t object_hash; /**< equal for all requests of one object */
 	bool sticky;	      /**< the object's server runs it faster */
-	enum place_tier tier; /**< where it should run */
-	bool far_allowed;     /**< may leave the region if it has no room */
+	bool away; /**< should run in another region */
 	uint32_t typical_ms;  /**< time a request runs, usually */
 	uint32_t slow_ms;     /**< the same, where the object is not known */
 	uint32_t wait_max_ms; /**< longest wait worth queueing for */
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -186,7 +186,7 @@
 	rule = exchange_retry_rule(e);
 	state = exchange_service_state(e);
 	retry_share_request(&state->retries, &rule, e->started_ms);
-	exchange_choose_tier(e);
+	exchange_choose_side(e);
 	exchange_place(e, NULL);
 }
 
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -35,14 +35,14 @@
 	uint32_t tried_count;
 	uint32_t sends; /* that a server may have begun to handle */
 	enum verdict worst;
-	enum place_tier tier; /* where it should run */
+	bool away; /* should run in another region */
 	uint32_t returning_after_ms; /* time since the caller first asked */
 	bool passing_on; /* the answer is sent while it arrives */
 	uint32_t wait_ms; /* estimated for the place that was refused */
 };
 
-/** Decides in which failure domain or region the request should run. */
-void exchange_choose_tier(struct exchange *exchange);
+/** Decides whether the request should run in this region or in another. */
+void exchange_choose_side(struct exchange *exchange);
 
 /**
  * Chooses a server and sends the request, or refuses it. May end the exchange.
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -129,32 +129,8 @@
 				      server->failure_domain);
 }
 
-static enum place_tier tier_of(const struct proxy *proxy,
-			       const char *failure_domain, const char *region)
-{
-	if (failure_domain == proxy->failure_domain)
-		return PLACE_DOMAIN;
-	return region == proxy->region ? PLACE_REGION : PLACE_FAR;
-}
-
-/* The row of a failure domain of this region; the own one is the first. */
-static struct spill_domain *domain_row(struct spill_view *view,
-				       const char **names, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < view->domain_count; i++)
-		if (names[i] == name)
-			return &view->domains[i];
-	if (view->domain_count == SPILL_DOMAINS_MAX)
-		return &view->domains[SPILL_DOMAINS_MAX - 1];
-	names[view->domain_count] = name;
-	return &view->domains[view->domain_count++];
-}
-
 static void view_server(const struct exchange *e, const struct server *server,
-			struct spill_view *view, const char **names,
-			int64_t now_ms)
+			struct spill_view *view, int64_t now_ms)
 {
 	if (!is_open(e, server) || server->cold_until_ms > now_ms)
 		return;
@@ -163,41 +139,30 @@
 		view->far_load += load_estimate(&server->load, now_ms);
 		return;
 	}
-	domain_row(view, names, server->failure_domain)->slots +=
-		server->load.slots;
+	view->near_slots += server->load.slots;
 	if (now_ms - server->load.reported_ms < REPORT_FRESH_MS)
-		view->region_waiting += server->load.waiting;
+		view->near_waiting += server->load.waiting;
 }
 
-void exchange_choose_tier(struct exchange *e)
+void exchange_choose_side(struct exchange *e)
 {
 	const struct proxy *proxy = e->proxy;
 	const GPtrArray *list = servers_of(proxy->servers, e->service->name);
-	const GPtrArray *vms = vms_all(proxy->vms);
-	struct spill *spill = &exchange_service_state(e)->spill;
-	const char *names[SPILL_DOMAINS_MAX] = { proxy->failure_domain };
+	struct service_state *state = exchange_service_state(e);
 	int64_t now_ms = proxy_now_ms(proxy);
 	struct spill_view view = {
-		.domain_count = 1,
+		.region_vms = MAX(vms_in(proxy->vms, proxy->region), 1),
 		.domain_share =
 			topology_share(&proxy->topology, proxy->region),
-		.fast_ms = exchange_service_state(e)->time.fast_ms,
+		.fast_ms = state->time.fast_ms,
 	};
 	guint i;
 
 	for (i = 0; i < list->len; i++)
-		view_server(e, g_ptr_array_index(list, i), &view, names,
-			    now_ms);
-	for (i = 0; i < vms->len; i++) {
-		const struct vm *vm = g_ptr_array_index(vms, i);
-
-		if (vm->region == proxy->region)
-			domain_row(&view, names, vm->failure_domain)->vms++;
-	}
-	view.domains[0].vms = MAX(view.domains[0].vms, 1);
-	spill_request(spill, &view,
+		view_server(e, g_ptr_array_index(list, i), &view, now_ms);
+	spill_request(&state->spill, &view,
 		      proxy->bounds.shift_max * SHIFT_USED_PER_S, now_ms);
-	e->tier = spill_tier(spill, e->object_hash);
+	e->away = spill_goes_away(&state->spill, e->object_hash);
 }
 
 static uint32_t collect(const struct exchange *e, int64_t now_ms)
@@ -217,8 +182,7 @@
 		row->server_hash = server->hash;
 		row->slots = server->load.slots;
 		row->load = load_estimate(&server->load, now_ms);
-		row->tier = tier_of(e->proxy, server->failure_domain,
-				    server->region);
+		row->near = server->region == e->proxy->region;
 		row->known = e->has_object &&
 			     warmth_known(&e->proxy->warmth, e->object_hash,
 					  server->hash, now_ms);
@@ -282,14 +246,14 @@
 	int64_t reported_ms = server->load.reported_ms;
 
 	log_info("place", "request is sent request=%s route=%s service=%s "
-		 "object=%016" PRIx64 " server=%s load=%u slots=%u tier=%d "
-		 "wanted=%d inside=%.2f away=%.2f rate_per_s=%.1f "
+		 "object=%016" PRIx64 " server=%s load=%u slots=%u near=%d "
+		 "wanted_away=%d away=%.2f rate_per_s=%.1f "
 		 "fast_ms=%.0f typical_ms=%u slow_ms=%u wait_max_ms=%u "
 		 "known=%d candidates=%u "
 		 "report_age_ms=%" PRId64 " left_ms=%u again=%s",
 		 e->id, e->route->name, e->service->name, e->object_hash,
 		 server->id, candidates[index].load, candidates[index].slots,
-		 candidates[index].tier, e->tier, spill->inside, spill->away,
+		 candidates[index].near, e->away, spill->away,
 		 spill->rate_per_s, exchange_service_state(e)->time.fast_ms,
 		 request->typical_ms, request->slow_ms, request->wait_max_ms,
 		 candidates[index].known, count, reported_ms ? proxy_now_ms(e->proxy) - reported_ms : -1,
@@ -304,7 +268,7 @@
 	struct place_request request = {
 		.object_hash = e->object_hash,
 		.sticky = e->route->sticky && e->has_object,
-		.tier = e->tier,
+		.away = e->away,
 		.typical_ms = (uint32_t)time->typical_ms,
 		.slow_ms = (uint32_t)time->slow_ms,
 		.wait_max_ms = wait_max_ms(e, (uint32_t)time->typical_ms),
