feat(decide): run times without the path to the server

Solution: a server's round trip is taken from opening connections and left out of what requests run; it counts when a far server is weighed.

--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -23,6 +23,7 @@
 	uint64_t server_hash;
 	uint32_t slots;
 	uint32_t load; /**< estimated requests running or queued there */
+	uint32_t path_ms; /**< round trip to it */
 	bool near;   /**< in this entry VM's region */
 	bool known;  /**< has lately answered for the object */
 	bool cold;   /**< slow for some seconds after its start */
@@ -37,7 +38,7 @@
 	bool away; /**< should run in another region */
 	uint32_t typical_ms;  /**< time a request runs, usually */
 	uint32_t slow_ms;     /**< the same, where the object is not known */
-	uint32_t wait_max_ms; /**< longest wait worth queueing for */
+	uint32_t wait_max_ms; /**< longest wait and path worth their time */
 	uint32_t time_left_ms;
 };
 
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -7,6 +7,9 @@
 
 #include "base/log.h"
 
+/* Part of a round trip's estimate that a longer one changes; a shorter one is
+ * believed at once. */
+#define PATH_WEIGHT 16
 /* Failures in a row after which a server is only used when others have no
  * room, and for how long; doubled with each further failure. */
 #define FAILURES_MAX 2
@@ -204,6 +207,16 @@
 	return server->listed && !server->draining && !server->misplaced;
 }
 
+void server_note_path(struct server *server, int64_t took_ms)
+{
+	uint32_t took = (uint32_t)took_ms;
+
+	if (!server->path_ms || took < server->path_ms)
+		server->path_ms = MAX(took, 1);
+	else
+		server->path_ms += (took - server->path_ms) / PATH_WEIGHT;
+}
+
 void server_failed(struct server *server, const char *why, int64_t now_ms)
 {
 	int64_t avoid_ms;
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -33,6 +33,7 @@
 	int64_t cold_until_ms;
 	int64_t cold_sent_ms; /**< last request sent while it was cold */
 	struct load_view load;
+	uint32_t path_ms; /**< round trip, from opening connections */
 	uint32_t failures;	 /**< without a success between */
 	int64_t avoid_until_ms;	 /**< only used when others have no room */
 	struct server_connection *idle; /**< newest first; owned by the pool */
@@ -66,6 +67,9 @@
 /** @return whether the server may get new requests at all. */
 bool server_usable(const struct server *server);
 
+/** Notes how long a connection to the server took to open. */
+void server_note_path(struct server *server, int64_t took_ms);
+
 /** Notes an attempt's failure or success at the server. */
 void server_failed(struct server *server, const char *why, int64_t now_ms);
 void server_succeeded(struct server *server);
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -85,6 +85,7 @@
 	struct attempt *a = context;
 
 	evtimer_del(a->connect_timer);
+	server_note_path(a->server, attempt_age_ms(a));
 	send_request(a);
 }
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -375,6 +375,7 @@
 			    proxy_now_ms(e->proxy));
 	if (server->load.waiting)
 		return;
+	took_ms = MAX(took_ms - server->path_ms, 1);
 	service_time_note(&exchange_service_state(e)->time, took_ms);
 	service_time_note(&exchange_route_state(e)->time, took_ms);
 }
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -13,7 +13,7 @@
 #define CANDIDATES_MAX 1024
 
 /* Part of the wait that less urgent routes are given. */
-#define LESS_URGENT_SHARE 0.6
+#define LESS_URGENT_SHARE 0.85
 /* Reports of waiting requests count this long. */
 #define REPORT_FRESH_MS 1000
 /* Part of the bound on a region's shift that one second may use; the bound holds
@@ -183,6 +183,7 @@
 		row->server_hash = server->hash;
 		row->slots = server->load.slots;
 		row->load = load_estimate(&server->load, now_ms);
+		row->path_ms = server->path_ms;
 		row->near = server->region == e->proxy->region;
 		row->known = e->has_object &&
 			     warmth_known(&e->proxy->warmth, e->object_hash,
