feat(proxy): a server whose machine is gone is found in half a second

Solution: bytes that a server's kernel has not confirmed in 500 ms end the connection, and with it every attempt at that server; idempotent ones go elsewhere. A late answer is awaited for 120 ms. Events are gathered for 250 to 1000 ms by prefix.

--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -51,6 +51,7 @@
 		[ATTEMPT_OTHER_SERVER] = "other-server",
 		[ATTEMPT_NOT_CONNECTED] = "not-connected",
 		[ATTEMPT_BROKEN] = "broken",
+		[ATTEMPT_SILENT] = "silent",
 		[ATTEMPT_INVALID] = "invalid",
 		[ATTEMPT_TIMED_OUT] = "timed-out",
 	};
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -233,6 +233,12 @@
 		 avoid_ms);
 }
 
+void server_silent(struct server *server, int64_t now_ms)
+{
+	server->failures = MAX(server->failures, FAILURES_MAX);
+	server_failed(server, "silent", now_ms);
+}
+
 void server_succeeded(struct server *server)
 {
 	server->failures = 0;
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -15,6 +15,7 @@
  * What this entry VM believes of the backend servers. Loop's thread only.
  */
 
+struct attempt;
 struct server_connection;
 
 struct server {
@@ -38,6 +39,7 @@
 	int64_t avoid_until_ms;	 /**< only used when others have no room */
 	struct server_connection *idle; /**< newest first; owned by the pool */
 	uint32_t connection_count;
+	struct attempt *attempts; /**< in progress; owned by their exchanges */
 };
 
 struct servers;
@@ -72,6 +74,8 @@
 
 /** Notes an attempt's failure or success at the server. */
 void server_failed(struct server *server, const char *why, int64_t now_ms);
+/** Notes that the server's machine does not answer. */
+void server_silent(struct server *server, int64_t now_ms);
 void server_succeeded(struct server *server);
 
 #endif
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -11,6 +11,8 @@
 /* A larger answer cannot come from the store: a page holds about 1 MB of
  * values, a third more in base64. */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024)
+/* Sent bytes that the store's kernel has not confirmed end a connection. */
+#define SILENCE_MAX_MS 1000
 /* A connection takes a round trip, 70 ms between regions. */
 #define CONNECT_TIMEOUT_MS 500
 
@@ -175,7 +177,8 @@
 	set_timeout(line, line->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
 	if (!line->stream)
 		line->stream = http_stream_connect(line->base, &line->address,
-						   &line_events, line);
+						   SILENCE_MAX_MS, &line_events,
+						   line);
 	if (!line->stream)
 		goto out; /* the timeout reports it */
 	http_stream_next(line->stream);
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -15,9 +15,6 @@
  * connection that went silent. */
 #define WATCH_WAIT_MS 12000
 #define WATCH_TIMEOUT_MS (WATCH_WAIT_MS + 1500)
-/* Pause between an event and the next watch: what changes meanwhile comes with
- * one call. */
-#define GATHER_MS 250
 /* Pause before the next call after a failure: doubled up to the maximum. */
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 800
@@ -39,6 +36,7 @@
 	const struct mirror_events *events;
 	void *context;
 	char *prefix;
+	uint32_t gather_ms;
 	struct kv_line *line;
 	struct event *retry;
 	struct event *expiry;
@@ -263,7 +261,7 @@
 	}
 	kv_page_clear(&page);
 	m->events->synced(m->context);
-	set_timer(m->retry, GATHER_MS);
+	set_timer(m->retry, m->gather_ms);
 }
 
 static void send_next(struct mirror *m)
@@ -294,6 +292,7 @@
 
 struct mirror *mirror_new(struct event_base *base, const struct clock *clock,
 			  const struct sockaddr_in *store, const char *prefix,
+			  uint32_t gather_ms,
 			  const struct mirror_events *events, void *context)
 {
 	struct mirror *m = calloc(1, sizeof(*m));
@@ -305,6 +304,7 @@
 	m->events = events;
 	m->context = context;
 	m->prefix = strdup(prefix);
+	m->gather_ms = gather_ms;
 	m->line = kv_line_new(base, store);
 	m->retry = evtimer_new(base, on_retry, m);
 	m->expiry = evtimer_new(base, on_expiry, m);
--- a/src/kv/mirror.h
+++ b/src/kv/mirror.h
@@ -29,10 +29,14 @@
 };
 
 /**
- * @param prefix copied. @return a mirror that the caller frees, or NULL.
+ * @param prefix copied.
+ * @param gather_ms pause between an event and the next watch: what changes
+ * meanwhile comes with one call.
+ * @return a mirror that the caller frees, or NULL.
  */
 struct mirror *mirror_new(struct event_base *base, const struct clock *clock,
 			  const struct sockaddr_in *store, const char *prefix,
+			  uint32_t gather_ms,
 			  const struct mirror_events *events, void *context);
 
 void mirror_free(struct mirror *mirror);
--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -315,6 +315,7 @@
 static void on_event(struct bufferevent *bev, short what, void *context)
 {
 	struct http_stream *s = context;
+	bool silent = EVUTIL_SOCKET_ERROR() == ETIMEDOUT;
 
 	(void)bev;
 	enter(s);
@@ -326,7 +327,7 @@
 	} else if (what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
 		if (!s->paused)
 			feed(s);
-		end(s, HTTP_END_RESET);
+		end(s, silent ? HTTP_END_SILENT : HTTP_END_RESET);
 	}
 	leave(s);
 }
@@ -380,10 +381,11 @@
 
 struct http_stream *http_stream_connect(struct event_base *base,
 					const struct sockaddr_in *address,
+					uint32_t silence_max_ms,
 					const struct http_stream_events *events,
 					void *context)
 {
-	int fd = tcp_socket();
+	int fd = tcp_socket(silence_max_ms);
 	struct http_stream *s;
 
 	if (fd < 0)
--- a/src/net/http_stream.h
+++ b/src/net/http_stream.h
@@ -27,7 +27,8 @@
 /** Why a stream can no longer be used. */
 enum http_end {
 	HTTP_END_CLOSED, /**< the peer closed in order */
-	HTTP_END_RESET,	 /**< reset, unreachable or silent for too long */
+	HTTP_END_RESET,	 /**< reset or unreachable */
+	HTTP_END_SILENT, /**< the peer's kernel does not answer */
 	HTTP_END_INVALID, /**< bytes that are no message */
 	HTTP_END_HEAD_TOO_LARGE,
 	HTTP_END_EXTRA, /**< bytes arrived although no message is expected */
@@ -77,9 +78,15 @@
 				       const struct http_stream_events *events,
 				       void *context);
 
-/** Begins to connect. @return a stream that the caller frees, or NULL. */
+/**
+ * Begins to connect.
+ *
+ * @param silence_max_ms see tcp_prepare().
+ * @return a stream that the caller frees, or NULL.
+ */
 struct http_stream *http_stream_connect(struct event_base *base,
 					const struct sockaddr_in *address,
+					uint32_t silence_max_ms,
 					const struct http_stream_events *events,
 					void *context);
 
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -10,9 +10,9 @@
 
 #include "base/log.h"
 
-/* A connection whose peer is silent this long is given up. Below the time in
- * which a fleet must be in order again after connections went silent (4 s). */
-#define SILENCE_MAX_MS 3000
+/* An idle connection whose peer is silent is given up after these probes: below
+ * the time in which a fleet must be in order again after connections went
+ * silent (4 s). */
 #define PROBE_IDLE_S 1
 #define PROBE_GAP_S 1
 #define PROBE_COUNT 2
@@ -45,17 +45,18 @@
 			  "error=\"%s\"", name, strerror(errno));
 }
 
-void tcp_prepare(int fd)
+void tcp_prepare(int fd, uint32_t silence_max_ms)
 {
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_GAP_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
-	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MAX_MS);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+		   (int)silence_max_ms);
 }
 
-int tcp_socket(void)
+int tcp_socket(uint32_t silence_max_ms)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -63,6 +64,6 @@
 		log_warn("net", "socket cannot be opened error=\"%s\"",
 			 strerror(errno));
 	else
-		tcp_prepare(fd);
+		tcp_prepare(fd, silence_max_ms);
 	return fd;
 }
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "base/attributes.h"
 
@@ -17,10 +18,16 @@
 /**
  * Sets what every connection needs: no delay of small writes, and probes that
  * find a silent peer.
+ *
+ * @param silence_max_ms time after which sent bytes that the peer's kernel has
+ * not confirmed end the connection.
  */
-void tcp_prepare(int fd);
+void tcp_prepare(int fd, uint32_t silence_max_ms);
+
+/** Silence that ends a connection of a caller, in ms. */
+#define TCP_SILENCE_CALLER_MS 3000
 
 /** @return a new non-blocking socket prepared for a connection, or -1. */
-MUST_USE int tcp_socket(void);
+MUST_USE int tcp_socket(uint32_t silence_max_ms);
 
 #endif
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -13,7 +13,7 @@
 
 /* A connection takes one round trip, 70 ms between regions; a lost opening
  * packet is only sent again after a second. */
-#define CONNECT_TIMEOUT_MS 500
+#define CONNECT_TIMEOUT_MS 250
 /* Answers up to this size are held back until they are whole. */
 #define HOLD_BACK_BYTES (256 * 1024)
 
@@ -39,6 +39,8 @@
 	bool skipped;
 	bool overflowed;
 	bool over;
+	struct attempt *next; /* at the same server */
+	struct attempt *previous;
 };
 
 static void close_connection(struct attempt *a)
@@ -47,11 +49,30 @@
 	a->connection = NULL;
 }
 
+static void link_to_server(struct attempt *a)
+{
+	a->next = a->server->attempts;
+	if (a->next)
+		a->next->previous = a;
+	a->server->attempts = a;
+}
+
+static void unlink_from_server(struct attempt *a)
+{
+	if (a->previous)
+		a->previous->next = a->next;
+	else
+		a->server->attempts = a->next;
+	if (a->next)
+		a->next->previous = a->previous;
+}
+
 static void finish(struct attempt *a, enum attempt_end end)
 {
 	if (a->over)
 		return;
 	a->over = true;
+	unlink_from_server(a);
 	load_finished(&a->server->load);
 	evtimer_del(a->connect_timer);
 	a->events->done(a->context, a, end);
@@ -193,10 +214,30 @@
 	finish(a, outcome_of_answer(&facts));
 }
 
+/* One connection shows that the server's machine is gone: what else waits for
+ * it need not wait until its time is up. */
+static void give_up_server(struct server *server)
+{
+	struct server *held = server_hold(server);
+
+	log_info("servers", "server is silent server=%s", server->id);
+	while (held->attempts) {
+		struct attempt *a = held->attempts;
+
+		close_connection(a);
+		finish(a, a->sent ? ATTEMPT_SILENT : ATTEMPT_NOT_CONNECTED);
+	}
+	server_release(held);
+}
+
 static void on_ended(void *context, enum http_end end)
 {
 	struct attempt *a = context;
 
+	if (end == HTTP_END_SILENT) {
+		give_up_server(a->server);
+		return;
+	}
 	close_connection(a);
 	if (!a->sent)
 		finish(a, ATTEMPT_NOT_CONNECTED);
@@ -237,6 +278,7 @@
 		return NULL;
 	}
 	load_sent(&server->load);
+	link_to_server(a);
 	if (a->reused)
 		send_request(a);
 	else
@@ -248,8 +290,10 @@
 {
 	if (!a)
 		return;
-	if (!a->over)
+	if (!a->over) {
+		unlink_from_server(a);
 		load_finished(&a->server->load);
+	}
 	if (a->connection)
 		close_connection(a);
 	event_free(a->connect_timer);
--- a/src/proxy/belief.c
+++ b/src/proxy/belief.c
@@ -13,6 +13,13 @@
  * long after it is taken back, if no service says otherwise. */
 #define COLD_AFTER_EVACUATION_MS 3000
 
+/* Pauses that gather changes, each a call saved for the whole fleet. A tenth of
+ * the time in which a configuration must be in force, a fifth of that in which
+ * a leaving server must get no more requests, and a third of a lease. */
+#define GATHER_OPERATOR_MS 250
+#define GATHER_SERVERS_MS 400
+#define GATHER_VMS_MS 1000
+
 struct belief {
 	struct proxy *proxy;
 	struct mirror *operator_keys;
@@ -187,12 +194,15 @@
 	belief->proxy = proxy;
 	belief->operator_keys =
 		mirror_new(proxy->base, proxy->clock, store,
-			   PLATFORM_PREFIX_OPERATOR, &operator_events, belief);
+			   PLATFORM_PREFIX_OPERATOR, GATHER_OPERATOR_MS,
+			   &operator_events, belief);
 	belief->server_keys =
 		mirror_new(proxy->base, proxy->clock, store,
-			   PLATFORM_PREFIX_SERVERS, &server_events, belief);
+			   PLATFORM_PREFIX_SERVERS, GATHER_SERVERS_MS,
+			   &server_events, belief);
 	belief->vm_keys = mirror_new(proxy->base, proxy->clock, store,
-				     VMS_KEY_PREFIX, &vm_events, belief);
+				     VMS_KEY_PREFIX, GATHER_VMS_MS, &vm_events,
+				     belief);
 	if (belief->operator_keys && belief->server_keys && belief->vm_keys)
 		return belief;
 	belief_free(belief);
--- a/src/proxy/endpoint.c
+++ b/src/proxy/endpoint.c
@@ -139,7 +139,7 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	tcp_prepare(fd);
+	tcp_prepare(fd, TCP_SILENCE_CALLER_MS);
 	c->endpoint = endpoint;
 	c->timer = evtimer_new(endpoint->base, on_timer, c);
 	c->stream = http_stream_accept(endpoint->base, fd, HEAD_BYTES_MAX,
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -19,7 +19,7 @@
 #define BODY_BYTES_READ_FIRST 65536
 /* Added to the time limit, so that a server's own answer at its deadline can
  * arrive. */
-#define LATE_ANSWER_MS 60
+#define LATE_ANSWER_MS 120
 /* Deadline of a request whose caller gives none. */
 #define DEADLINE_DEFAULT_MS 30000
 /* Bytes that wait for a slow caller before its server is held up. */
@@ -359,6 +359,8 @@
 		server->misplaced = true;
 		log_info("servers", "another server answers server=%s",
 			 server->id);
+	} else if (end == ATTEMPT_SILENT || end == ATTEMPT_NOT_CONNECTED) {
+		server_silent(server, proxy_now_ms(e->proxy));
 	} else if (outcome_blames_server(end)) {
 		server_failed(server, outcome_text(end),
 			      proxy_now_ms(e->proxy));
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -87,7 +87,7 @@
 	(void)listener;
 	(void)address;
 	(void)length;
-	tcp_prepare(fd);
+	tcp_prepare(fd, TCP_SILENCE_CALLER_MS);
 	caller_accept(context, fd);
 }
 
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -10,6 +10,11 @@
 /* Assumed when a server does not tell its timeout. */
 #define IDLE_DEFAULT_MS 4000
 
+/* A request that the server's kernel has not confirmed in this time goes
+ * elsewhere while it can still be answered: seven round trips between regions,
+ * so that a lost packet or two are sent again first. */
+#define SILENCE_MAX_MS 500
+
 struct server_connection {
 	struct proxy *proxy;
 	struct server *server;
@@ -134,7 +139,7 @@
 	c->context = context;
 	c->idle_timer = evtimer_new(proxy->base, on_idle_timeout, c);
 	c->stream = http_stream_connect(proxy->base, &server->address,
-					&stream_events, c);
+					SILENCE_MAX_MS, &stream_events, c);
 	if (!c->stream || !c->idle_timer) {
 		pool_discard(c);
 		return NULL;
