--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -65,3 +65,9 @@
 {
 	return clock->unix_ms(clock->context);
 }
+
+int64_t clock_suspended_ms(void)
+{
+	return (read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC)) /
+	       NS_PER_MS;
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -47,4 +47,10 @@
  */
 int64_t clock_unix_ms(const struct clock *clock);
 
+/**
+ * @return time for which the machine was suspended since it started, in ms,
+ * which the monotonic clock does not count.
+ */
+int64_t clock_suspended_ms(void);
+
 #endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -37,7 +37,7 @@
 static struct ring *lines;
 static pthread_t writer;
 static log4c_category_t *category;
-static enum log_level level_max = LOG_LEVEL_WARN;
+static _Atomic enum log_level level_max = LOG_LEVEL_WARN;
 static atomic_bool stopping;
 static atomic_uint_fast64_t dropped;
 
@@ -126,6 +126,13 @@
 	return 0;
 }
 
+void log_set_level(enum log_level level)
+{
+	level_max = level;
+	if (category)
+		log4c_category_set_priority(category, priorities[level]);
+}
+
 void log_close(void)
 {
 	if (!lines)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -28,6 +28,9 @@
  */
 int log_open(enum log_level level);
 
+/** Changes the level from the next line on. Any thread. */
+void log_set_level(enum log_level level);
+
 /** Writes what is queued, stops the writer and closes the log. */
 void log_close(void);
 
--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -107,6 +107,27 @@
 	schedule(p, status == KV_STATUS_OK ? RENEW_MS : RENEW_MS / 2);
 }
 
+static void on_withdrawn(void *context, uint16_t status, const char *body,
+			 size_t bytes)
+{
+	struct presence *p = context;
+
+	(void)body;
+	(void)bytes;
+	log_info("presence", "registration withdrawn status=%u", status);
+	/* the answer may be lost: ending a lease twice does no harm */
+	if (status != KV_STATUS_OK && status != KV_STATUS_NOT_FOUND)
+		schedule(p, RENEW_MS / 2);
+}
+
+static void end_lease(struct presence *p)
+{
+	struct kv_call call;
+
+	kv_call_lease_end(&call, p->lease);
+	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_withdrawn, p);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	struct presence *p = context;
@@ -114,9 +135,11 @@
 
 	(void)fd;
 	(void)what;
-	if (p->withdrawn || kv_line_busy(p->line))
+	if (kv_line_busy(p->line))
 		return;
-	if (!p->lease) {
+	if (p->withdrawn) {
+		end_lease(p);
+	} else if (!p->lease) {
 		kv_call_lease(&call, LEASE_TTL_MS);
 		kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_granted, p);
 	} else if (!p->written) {
@@ -143,35 +166,15 @@
 	return p;
 }
 
-static void on_withdrawn(void *context, uint16_t status, const char *body,
-			 size_t bytes)
-{
-	struct presence *p = context;
-	struct kv_call call;
-
-	(void)body;
-	(void)bytes;
-	log_info("presence", "registration withdrawn status=%u", status);
-	if (status == KV_STATUS_OK || status == KV_STATUS_NOT_FOUND)
-		return;
-	/* an answer that was lost: ending a lease twice does no harm */
-	kv_call_lease_end(&call, p->lease);
-	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_withdrawn, p);
-}
-
 void presence_withdraw(struct presence *p)
 {
-	struct kv_call call;
-
 	if (p->withdrawn)
 		return;
 	p->withdrawn = true;
 	evtimer_del(p->timer);
 	kv_line_drop(p->line);
-	if (!p->lease)
-		return;
-	kv_call_lease_end(&call, p->lease);
-	kv_line_send(p->line, &call, CALL_TIMEOUT_MS, on_withdrawn, p);
+	if (p->lease)
+		end_lease(p);
 }
 
 void presence_free(struct presence *p)
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -10,37 +10,25 @@
 #include "base/log.h"
 #include "kv/presence.h"
 #include "net/listener.h"
-#include "platform/bounds_codec.h"
 #include "platform/directory_codec.h"
 #include "proxy/belief.h"
 #include "proxy/caller.h"
 #include "proxy/directory.h"
 #include "proxy/endpoint.h"
+#include "proxy/pause.h"
+#include "proxy/reload.h"
 #include "proxy/stop.h"
 
 /* Environment variable that names the settings file. */
 #define SETTINGS_VARIABLE "AUBURNREACH_CONFIG"
 
-/* Bounds of a deployment that names none. */
-static const struct bounds default_bounds = {
-	.drain_ms = 2500,
-	.stop_grace_ms = 6000,
-	.retry_ratio = 0.2,
-	.retry_extra = 20,
-	.retry_window_ms = 10000,
-	.cold_factor = 1.0,
-	.cold_extra = 0,
-	.directory_ttl_max_s = 5,
-	.shift_max = 0.15,
-	.address_reuse_ms = 2000,
-	.stability_ms = 4000,
-};
-
 struct entry {
 	struct proxy proxy;
 	struct proxy_settings settings;
 	struct presence *presence;
 	struct stop *stop;
+	struct reload *reload;
+	struct pause_watch *pause;
 	struct evconnlistener *requests;
 	struct endpoint *ready;
 	struct endpoint *directory;
@@ -117,7 +105,7 @@
 	return true;
 }
 
-static bool open_proxy(struct entry *entry)
+static bool open_proxy(struct entry *entry, const char *settings_file)
 {
 	const struct proxy_settings *settings = &entry->settings;
 	struct proxy *proxy = &entry->proxy;
@@ -132,10 +120,7 @@
 		return false;
 	proxy->clock = &clock_system;
 	proxy->settings = settings;
-	proxy->bounds = default_bounds;
-	bounds_decode(settings->bounds, &proxy->bounds);
-	proxy->topology.domains = settings->domains;
-	proxy->topology.domain_count = settings->domain_count;
+	reload_apply(proxy, settings);
 	proxy->region = g_intern_string(settings->region);
 	proxy->failure_domain = g_intern_string(settings->failure_domain);
 	proxy->evacuated =
@@ -156,7 +141,10 @@
 	g_free(key);
 	free(text);
 	entry->stop = stop_new(proxy, entry->presence);
-	return proxy->belief && entry->presence && entry->stop;
+	entry->reload = reload_new(proxy, settings_file, &entry->settings);
+	entry->pause = pause_watch_new(proxy);
+	return proxy->belief && entry->presence && entry->stop &&
+	       entry->reload && entry->pause;
 }
 
 static void close_proxy(struct entry *entry)
@@ -166,6 +154,8 @@
 	if (!proxy->base)
 		return;
 	callers_close_all(proxy);
+	pause_watch_free(entry->pause);
+	reload_free(entry->reload);
 	stop_free(entry->stop);
 	presence_free(entry->presence);
 	belief_free(proxy->belief);
@@ -202,7 +192,7 @@
 		 entry.settings.name, entry.settings.region,
 		 entry.settings.failure_domain, entry.settings.request_address,
 		 ABR_VERSION);
-	if (open_proxy(&entry)) {
+	if (open_proxy(&entry, settings_file)) {
 		event_base_dispatch(entry.proxy.base);
 		code = EXIT_SUCCESS;
 	}
--- /dev/null
+++ b/src/proxy/reload.c
@@ -0,0 +1,148 @@
+#include "proxy/reload.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "base/log.h"
+#include "platform/bounds_codec.h"
+
+/* How often the file is looked at: changes of it are not urgent. */
+#define LOOK_S 5
+
+struct reload {
+	struct proxy *proxy;
+	struct proxy_settings *settings;
+	char *file_name;
+	struct event *signal;
+	struct event *look;
+	struct timespec changed_at;
+	off_t bytes;
+};
+
+/* Bounds of a deployment that names none. */
+static const struct bounds default_bounds = {
+	.drain_ms = 2500,
+	.stop_grace_ms = 6000,
+	.retry_ratio = 0.2,
+	.retry_extra = 20,
+	.retry_window_ms = 10000,
+	.cold_factor = 1.0,
+	.cold_extra = 0,
+	.directory_ttl_max_s = 5,
+	.shift_max = 0.15,
+	.address_reuse_ms = 2000,
+	.stability_ms = 4000,
+};
+
+void reload_apply(struct proxy *proxy, const struct proxy_settings *settings)
+{
+	proxy->bounds = default_bounds;
+	bounds_decode(settings->bounds, &proxy->bounds);
+	proxy->topology.domains = settings->domains;
+	proxy->topology.domain_count = settings->domain_count;
+	log_set_level(log_level_from_name(settings->log_level));
+}
+
+static bool same_place(const struct proxy_settings *a,
+		       const struct proxy_settings *b)
+{
+	return !strcmp(a->name, b->name) && !strcmp(a->region, b->region) &&
+	       !strcmp(a->failure_domain, b->failure_domain) &&
+	       !strcmp(a->request_address, b->request_address) &&
+	       !strcmp(a->ready_address, b->ready_address) &&
+	       !strcmp(a->directory_address, b->directory_address) &&
+	       !strcmp(a->store_address, b->store_address);
+}
+
+static void read_again(struct reload *reload)
+{
+	struct shape_errors errors = shape_errors_new();
+	struct proxy_settings fresh = { 0 };
+	struct proxy_settings old = *reload->settings;
+
+	if (!proxy_settings_read(&fresh, reload->file_name, &errors)) {
+		log_error("reload", "settings are refused, the old ones stay "
+			  "why=\"%s\"", errors.text->str);
+		shape_clear(&proxy_settings_shape, &fresh);
+		shape_errors_clear(&errors);
+		return;
+	}
+	shape_errors_clear(&errors);
+	if (!same_place(&old, &fresh))
+		log_warn("reload", "a name or address has changed: it takes "
+			 "effect with the next start");
+	*reload->settings = fresh;
+	reload_apply(reload->proxy, reload->settings);
+	shape_clear(&proxy_settings_shape, &old);
+	log_info("reload", "settings are in force log_level=%s",
+		 reload->settings->log_level);
+}
+
+/* @return whether the file is another one than at the last look. */
+static bool look_at_file(struct reload *reload)
+{
+	struct stat state;
+	bool changed;
+
+	if (stat(reload->file_name, &state))
+		return false; /* it may be being replaced */
+	changed = state.st_mtim.tv_sec != reload->changed_at.tv_sec ||
+		  state.st_mtim.tv_nsec != reload->changed_at.tv_nsec ||
+		  state.st_size != reload->bytes;
+	reload->changed_at = state.st_mtim;
+	reload->bytes = state.st_size;
+	return changed;
+}
+
+static void on_signal(evutil_socket_t fd, short what, void *context)
+{
+	struct reload *reload = context;
+
+	(void)fd;
+	(void)what;
+	log_info("reload", "reload is asked for");
+	look_at_file(reload);
+	read_again(reload);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *context)
+{
+	struct reload *reload = context;
+
+	(void)fd;
+	(void)what;
+	if (look_at_file(reload))
+		read_again(reload);
+}
+
+struct reload *reload_new(struct proxy *proxy, const char *file_name,
+			  struct proxy_settings *settings)
+{
+	const struct timeval period = { LOOK_S, 0 };
+	struct reload *reload = calloc(1, sizeof(*reload));
+
+	if (!reload)
+		return NULL;
+	reload->proxy = proxy;
+	reload->settings = settings;
+	reload->file_name = strdup(file_name);
+	reload->signal = evsignal_new(proxy->base, SIGHUP, on_signal, reload);
+	reload->look =
+		event_new(proxy->base, -1, EV_PERSIST, on_look, reload);
+	evsignal_add(reload->signal, NULL);
+	evtimer_add(reload->look, &period);
+	look_at_file(reload);
+	return reload;
+}
+
+void reload_free(struct reload *reload)
+{
+	if (!reload)
+		return;
+	event_free(reload->signal);
+	event_free(reload->look);
+	free(reload->file_name);
+	free(reload);
+}
