--- /dev/null
+++ b/test/unit/decide/outcome_test.c
@@ -0,0 +1,69 @@
+#include "decide/outcome.h"
+#include "unit/test.h"
+
+static enum attempt_end end_of(uint16_t status, bool stamped, bool not_run,
+			       bool encoded)
+{
+	struct answer_facts facts = { status, stamped, not_run, encoded };
+
+	return outcome_of_answer(&facts);
+}
+
+static void answers_are_told_apart(void)
+{
+	g_assert_cmpint(end_of(200, true, false, false), ==, ATTEMPT_ANSWERED);
+	g_assert_cmpint(end_of(404, true, false, false), ==, ATTEMPT_ANSWERED);
+	g_assert_cmpint(end_of(500, true, false, false), ==, ATTEMPT_FAILED);
+	g_assert_cmpint(end_of(504, true, false, false), ==, ATTEMPT_FAILED);
+	g_assert_cmpint(end_of(503, false, true, false), ==, ATTEMPT_REFUSED);
+	g_assert_cmpint(end_of(421, false, true, false), ==,
+			ATTEMPT_OTHER_SERVER);
+}
+
+/* Nothing but the server's own answer is a success. */
+static void foreign_answers_are_invalid(void)
+{
+	g_assert_cmpint(end_of(200, false, false, false), ==, ATTEMPT_INVALID);
+	g_assert_cmpint(end_of(200, true, false, true), ==, ATTEMPT_INVALID);
+	g_assert_cmpint(end_of(503, false, false, false), ==, ATTEMPT_INVALID);
+}
+
+/* Only a statement of the server, or that nothing was sent, proves NOT_RUN. */
+static void not_run_needs_proof(void)
+{
+	static const enum attempt_end doubtful[] = {
+		ATTEMPT_BROKEN, ATTEMPT_SILENT, ATTEMPT_INVALID,
+		ATTEMPT_TIMED_OUT
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(doubtful); i++)
+		g_assert_cmpint(outcome_verdict(doubtful[i]), ==,
+				VERDICT_MAY_HAVE_RUN);
+	g_assert_cmpint(outcome_verdict(ATTEMPT_REFUSED), ==, VERDICT_NOT_RUN);
+	g_assert_cmpint(outcome_verdict(ATTEMPT_OTHER_SERVER), ==,
+			VERDICT_NOT_RUN);
+	g_assert_cmpint(outcome_verdict(ATTEMPT_NOT_CONNECTED), ==,
+			VERDICT_NOT_RUN);
+	g_assert_cmpint(outcome_verdict(ATTEMPT_FAILED), ==, VERDICT_RAN);
+}
+
+/* 503 promises that the request has not run; 502 and 504 promise nothing. */
+static void status_promises_only_what_is_known(void)
+{
+	g_assert_cmpuint(outcome_status(VERDICT_NOT_RUN, false), ==, 503);
+	g_assert_cmpuint(outcome_status(VERDICT_NOT_RUN, true), ==, 503);
+	g_assert_cmpuint(outcome_status(VERDICT_MAY_HAVE_RUN, false), ==, 502);
+	g_assert_cmpuint(outcome_status(VERDICT_MAY_HAVE_RUN, true), ==, 504);
+	g_assert_cmpuint(outcome_status(VERDICT_RAN, false), ==, 502);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("outcome", answers_are_told_apart);
+	ADD_TEST("outcome", foreign_answers_are_invalid);
+	ADD_TEST("outcome", not_run_needs_proof);
+	ADD_TEST("outcome", status_promises_only_what_is_known);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/platform/codecs_test.c
@@ -0,0 +1,311 @@
+#include "fleet/config.h"
+#include "platform/bounds_codec.h"
+#include "platform/config_codec.h"
+#include "platform/directory_codec.h"
+#include "platform/header_codec.h"
+#include "platform/kv_codec.h"
+#include "platform/server_codec.h"
+#include "unit/test.h"
+
+#define CONFIG_SERVICES                                                     \
+	"\"Services\":{\"reg\":{\"HealthPath\":\"/health\",\"MaxConns\":845," \
+	"\"ColdStartS\":3.0,\"ColdPerS\":5.7},\"cal\":{\"HealthPath\":\"/h\"," \
+	"\"MaxConns\":9,\"ColdStartS\":0,\"ColdPerS\":1}}"
+#define CONFIG_LIMITS                                           \
+	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":" \
+	"67108864,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}"
+#define ROUTE(prefix, where, more)                                       \
+	"{\"Host\":\"a.example\",\"Prefix\":\"" prefix "\",\"Kind\":"    \
+	"\"idempotent\",\"TimeoutMs\":1200,\"TargetLatencyMs\":600,"     \
+	"\"Priority\":2," where ",\"MaxAttempts\":2,\"Sticky\":true" more \
+	"}"
+#define CONFIG(version, routes)                                              \
+	"{\"Version\":\"" version "\",\"Routes\":{" routes "}," CONFIG_SERVICES \
+	"," CONFIG_LIMITS "}"
+
+static struct config *decode(const char *text)
+{
+	const char *problem;
+
+	return config_decode(text, strlen(text), &problem);
+}
+
+static void configuration_is_decoded(void)
+{
+	struct config *config = decode(CONFIG(
+		"0000001f",
+		"\"r1\":" ROUTE("/a/", "\"Service\":\"reg\"",
+				",\"HomeRegions\":[\"fyn\"]") ",\"r2\":" ROUTE(
+			"/a/b/",
+			"\"Split\":[{\"Service\":\"reg\",\"Weight\":90},"
+			"{\"Service\":\"cal\",\"Weight\":10}]",
+			"")));
+	const struct route *route;
+	uint32_t second = 0;
+	uint64_t i;
+
+	g_assert_nonnull(config);
+	g_assert_cmpuint(config->version, ==, 0x1f);
+	g_assert_cmpuint(config->limits.idle_timeout_ms, ==, 15000);
+	route = config_route(config, "A.EXAMPLE", "/a/b/c?d");
+	g_assert_cmpstr(route->name, ==, "r2");
+	for (i = 0; i < 10000; i++)
+		second += route_part_for(route, i * 7919)->service ==
+			  config_service(config, "cal");
+	g_assert_cmpuint(second, ==, 1000);
+	route = config_route(config, "a.example", "/a/bc");
+	g_assert_cmpstr(route->name, ==, "r1");
+	g_assert_true(route->idempotent);
+	g_assert_true(route->sticky);
+	g_assert_cmpuint(route->home_region_count, ==, 1);
+	g_assert_cmpuint(route->parts[0].service->cold_start_ms, ==, 3000);
+	g_assert_null(config_route(config, "a.example", "/b/"));
+	g_assert_null(config_route(config, "b.example", "/a/"));
+	config_release(config);
+}
+
+/* What an operator's tool may leave behind: each is refused, the old one
+ * stays in force. */
+static void broken_configurations_are_refused(void)
+{
+	static const char *const broken[] = {
+		"",
+		"{",
+		"[]",
+		"{\"Version\":\"00000001\"}",
+		CONFIG("1", "\"r\":" ROUTE("/a/", "\"Service\":\"reg\"", "")),
+		CONFIG("0000000g",
+		       "\"r\":" ROUTE("/a/", "\"Service\":\"reg\"", "")),
+		CONFIG("00000001",
+		       "\"r\":" ROUTE("/a/", "\"Service\":\"none\"", "")),
+		CONFIG("00000001",
+		       "\"r\":" ROUTE("/a", "\"Service\":\"reg\"", "")),
+		CONFIG("00000001",
+		       "\"r\":" ROUTE("a/", "\"Service\":\"reg\"", "")),
+		CONFIG("00000001", "\"r\":" ROUTE("/a/", "\"x\":1", "")),
+		CONFIG("00000001",
+		       "\"r\":" ROUTE("/a/",
+				      "\"Split\":[{\"Service\":\"reg\","
+				      "\"Weight\":0}]",
+				      "")),
+		CONFIG("00000001",
+		       "\"r\":{\"Host\":\"a\",\"Prefix\":\"/\",\"Kind\":"
+		       "\"idempotent\",\"Service\":\"reg\",\"MaxAttempts\":2}"),
+		CONFIG("00000001",
+		       "\"r\":{\"Host\":\"a\",\"Prefix\":\"/\",\"Kind\":"
+		       "\"idempotent\",\"Service\":\"reg\",\"TimeoutMs\":2}"),
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(broken); i++)
+		if (decode(broken[i]))
+			g_error("taken: %s", broken[i]);
+}
+
+static const char *decode_server(const char *text, struct server_entry *entry)
+{
+	return server_decode("servers/i-1", text, strlen(text), entry);
+}
+
+#define SERVER(info, status, more)                                            \
+	"{\"Address\":\"10.0.0.9:8080\",\"Info\":{" info "},\"Status\":{" status \
+	"}" more "}"
+#define INFO "\"Service\":\"reg\",\"Version\":\"v1\",\"Zone\":\"a\",\"Slots\":9"
+#define STATUS "\"State\":\"ready\",\"Seq\":4,\"ColdLeftMs\":1500"
+
+static void server_entry_is_decoded(void)
+{
+	struct server_entry entry;
+
+	g_assert_null(decode_server(
+		SERVER(INFO, STATUS, ",\"born\":1733286148123"), &entry));
+	g_assert_cmpstr(entry.id, ==, "i-1");
+	g_assert_cmpstr(entry.failure_domain, ==, "a");
+	g_assert_cmpuint(entry.slots, ==, 9);
+	g_assert_cmpuint(entry.cold_left_ms, ==, 1500);
+	g_assert_cmpint(entry.born_ms, ==, 1733286148123);
+	g_assert_false(entry.draining);
+	server_entry_clear(&entry);
+}
+
+static void forged_entries_name_no_server(void)
+{
+	static const char *const forged[] = {
+		"\xff\xfe",
+		"7",
+		"{}",
+		SERVER("", STATUS, ""),
+		SERVER(INFO, "", ""),
+		SERVER(INFO, "\"State\":\"gone\",\"Seq\":4,\"ColdLeftMs\":0", ""),
+		SERVER(INFO, "\"State\":7,\"Seq\":4,\"ColdLeftMs\":0", ""),
+		SERVER(INFO, "\"State\":\"ready\",\"Seq\":\"4\"", ""),
+		SERVER(INFO, STATUS, ",\"born\":1.5"),
+		SERVER("\"Service\":\"reg\",\"Version\":\"v1\",\"Zone\":\"a\","
+		       "\"Slots\":\"9\"",
+		       STATUS, ""),
+		SERVER("\"Service\":\"reg\",\"Version\":\"v1\",\"Zone\":\"a\","
+		       "\"Slots\":-1",
+		       STATUS, ""),
+		"{\"Address\":\"nowhere\",\"Info\":{" INFO "},\"Status\":{" STATUS
+		"}}",
+	};
+	struct server_entry entry;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(forged); i++) {
+		if (!decode_server(forged[i], &entry))
+			g_error("taken: %s", forged[i]);
+		server_entry_clear(&entry);
+	}
+}
+
+static struct http_head head_of(struct http_header *headers, uint32_t count,
+				uint16_t status)
+{
+	struct http_head head = {
+		.status = status,
+		.headers = headers,
+		.header_count = count,
+	};
+
+	return head;
+}
+
+static void request_headers_are_decoded(void)
+{
+	struct http_header headers[] = {
+		{ "request-id", "9c41" },
+		{ "Cookie", "lang=en; Affinity-Key=1c; x=2" },
+		{ "Deadline-Ms", "4000" },
+	};
+	struct http_head head = head_of(headers, 3, 0);
+	struct request_meta meta = request_meta_decode(&head);
+
+	g_assert_cmpstr(meta.id, ==, "9c41");
+	g_assert_cmpuint(meta.object_bytes, ==, 2);
+	g_assert_cmpint(memcmp(meta.object, "1c", 2), ==, 0);
+	g_assert_cmpuint(meta.deadline_ms, ==, 4000);
+	headers[1].value = "NoAffinity-Key=7";
+	headers[2].value = "-5";
+	meta = request_meta_decode(&head);
+	g_assert_null(meta.object);
+	g_assert_cmpuint(meta.deadline_ms, ==, 0);
+}
+
+static void answer_headers_are_decoded(void)
+{
+	struct http_header headers[] = {
+		{ "Request-Id", "9c41" },	 { "Backend-Load", "3,1,8" },
+		{ "Response-Stamp", "3e1b.07" }, { "Cold-Ms", "700" },
+		{ "Keep-Alive", "timeout=10" },
+	};
+	struct http_head head = head_of(headers, 5, 200);
+	struct answer_meta meta = answer_meta_decode(&head);
+
+	g_assert_true(meta.stamped);
+	g_assert_false(meta.not_run);
+	g_assert_true(meta.has_load);
+	g_assert_cmpuint(meta.running, ==, 3);
+	g_assert_cmpuint(meta.waiting, ==, 1);
+	g_assert_cmpuint(meta.cold_left_ms, ==, 700);
+	g_assert_cmpuint(meta.idle_timeout_ms, ==, 10000);
+	headers[0].name = "Not-Executed";
+	headers[1].value = "3,1";
+	meta = answer_meta_decode(&head);
+	g_assert_true(meta.not_run);
+	g_assert_false(meta.has_load);
+	g_assert_null(meta.id);
+}
+
+static void pages_and_events_are_decoded(void)
+{
+	static const char text[] =
+		"{\"items\":[{\"Key\":\"my/a\",\"Value\":\"bm9kZS0x\","
+		"\"Revision\":412,\"Created\":412,\"Lease\":7},\"...\"],"
+		"\"Truncated\":true,\"CurrentRev\":530}";
+	static const char events[] =
+		"{\"events\":[{\"Key\":\"my/old\",\"Revision\":413,"
+		"\"Removed\":true}],\"CurrentRev\":413}";
+	struct kv_page page;
+
+	g_assert_true(kv_decode_page(text, strlen(text), &page));
+	g_assert_cmpuint(page.item_count, ==, 1);
+	g_assert_cmpstr(page.items[0].value, ==, "node-1");
+	g_assert_true(page.truncated);
+	g_assert_cmpuint(page.current_revision, ==, 530);
+	kv_page_clear(&page);
+	g_assert_true(kv_decode_events(events, strlen(events), &page));
+	g_assert_true(page.items[0].removed);
+	kv_page_clear(&page);
+	g_assert_false(kv_decode_page(events, strlen(events), &page));
+	g_assert_false(kv_decode_page("{", 1, &page));
+}
+
+static void calls_are_encoded(void)
+{
+	struct kv_call call;
+
+	kv_call_range(&call, "servers/", "servers/i 1", false);
+	g_assert_cmpstr(call.target->str, ==,
+			"/kv-range?Prefix=servers/&after=servers/i%201");
+	kv_call_clear(&call);
+	kv_call_watch(&call, "op/", 411, 20000);
+	g_assert_cmpstr(call.target->str, ==,
+			"/kv-watch?Prefix=op/&after=411&WaitMs=20000");
+	kv_call_clear(&call);
+	kv_call_put(&call, "my/leader", "node-1", 77120);
+	g_assert_cmpstr(call.body->str, ==,
+			"{\"Expected\":[],\"Puts\":[{\"Key\":\"my/leader\","
+			"\"Value\":\"bm9kZS0x\",\"Lease\":77120}],"
+			"\"Remove\":[]}");
+	kv_call_clear(&call);
+}
+
+static void directory_is_decoded_and_encoded(void)
+{
+	const char *addresses[] = { "10.0.0.1:80", "10.0.0.2:80" };
+	struct directory_question question;
+	struct evbuffer *out = evbuffer_new();
+
+	g_assert_true(directory_decode(
+		"/resolve?Name=a.example&Region=fyn&Zone=fyn-a", &question));
+	g_assert_cmpstr(question.region, ==, "fyn");
+	g_assert_cmpstr(question.failure_domain, ==, "fyn-a");
+	g_assert_true(directory_decode("/resolve", &question));
+	g_assert_cmpstr(question.region, ==, "");
+	g_assert_false(directory_decode("/resolver", &question));
+	directory_encode(out, addresses, 2, 1);
+	evbuffer_add(out, "", 1);
+	g_assert_cmpstr((char *)evbuffer_pullup(out, -1), ==,
+			"{\"Addresses\":[\"10.0.0.1:80\",\"10.0.0.2:80\"],"
+			"\"TtlS\":1}");
+	evbuffer_free(out);
+}
+
+static void bounds_are_decoded(void)
+{
+	struct bounds bounds = { .drain_ms = 1, .shift_max = 0.5 };
+
+	bounds_decode("DrainMs=2500,GraceS=6,MaxShift=x,New=7,,BudgetRatio=0.2",
+		      &bounds);
+	g_assert_cmpuint(bounds.drain_ms, ==, 2500);
+	g_assert_cmpuint(bounds.stop_grace_ms, ==, 6000);
+	g_assert_cmpfloat(bounds.shift_max, ==, 0.5);
+	g_assert_cmpfloat(bounds.retry_ratio, ==, 0.2);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("codecs", configuration_is_decoded);
+	ADD_TEST("codecs", broken_configurations_are_refused);
+	ADD_TEST("codecs", server_entry_is_decoded);
+	ADD_TEST("codecs", forged_entries_name_no_server);
+	ADD_TEST("codecs", request_headers_are_decoded);
+	ADD_TEST("codecs", answer_headers_are_decoded);
+	ADD_TEST("codecs", pages_and_events_are_decoded);
+	ADD_TEST("codecs", calls_are_encoded);
+	ADD_TEST("codecs", directory_is_decoded_and_encoded);
+	ADD_TEST("codecs", bounds_are_decoded);
+	return g_test_run();
+}
