fix(proxy): a route with homes says nothing about its service's share

The share that leaves a region is kept for each service, but was updated from the servers that the request's own route may use: one request of a route with homes elsewhere saw no server near, and the share of all others jumped to 1. Ruled out: the start of the share (0), its pace (4% a second).

Solution: the view takes all servers of the service; routes with homes do not move the share.

--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -130,12 +130,13 @@
 				      server->failure_domain);
 }
 
-static void view_server(const struct exchange *e, const struct server *server,
+static void view_server(const struct proxy *proxy, const struct server *server,
 			struct spill_view *view, int64_t now_ms)
 {
-	if (!is_open(e, server) || server->cold_until_ms > now_ms)
+	if (!server_usable(server) || server->cold_until_ms > now_ms ||
+	    g_hash_table_contains(proxy->evacuated, server->failure_domain))
 		return;
-	if (server->region != e->proxy->region) {
+	if (server->region != proxy->region) {
 		view->far_slots += server->load.slots;
 		view->far_load += load_estimate(&server->load, now_ms);
 		return;
@@ -159,8 +160,12 @@
 	};
 	guint i;
 
+	/* the share is the service's: a route that must stay in some regions
+	 * says nothing about it */
+	if (e->route->home_region_count)
+		return;
 	for (i = 0; i < list->len; i++)
-		view_server(e, g_ptr_array_index(list, i), &view, now_ms);
+		view_server(proxy, g_ptr_array_index(list, i), &view, now_ms);
 	spill_request(&state->spill, &view,
 		      proxy->bounds.shift_max * SHIFT_USED_PER_S, now_ms);
 	e->away = spill_goes_away(&state->spill, e->object_hash);
