--- a/src/decide/spill.c
+++ b/src/decide/spill.c
@@ -5,8 +5,9 @@
 
 #include "base/clock.h"
 
-/* Part of the slots that requests fill: above it, they wait for each other. */
-#define UTILISATION_MAX 0.7
+/* Part of a region's slots that its requests fill. Objects fall unevenly on
+ * servers: the fullest has about twice the mean, and must not queue. */
+#define UTILISATION_MAX 0.45
 /* Other regions take no more when this part of their slots is filled. */
 #define FAR_UTILISATION_MAX 0.85
 /* The rate of requests is averaged over this time. */
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -13,7 +13,7 @@
 #define RANGE_TIMEOUT_MS 1500
 /* Longest wait of one watch. Shorter ones cost calls; a longer one hides a
  * connection that went silent. */
-#define WATCH_WAIT_MS 12000
+#define WATCH_WAIT_MS 20000
 #define WATCH_TIMEOUT_MS (WATCH_WAIT_MS + 1500)
 /* Pause before the next call after a failure: doubled up to the maximum. */
 #define RETRY_MIN_MS 100
