feat(proxy): requests that crash their servers are refused over the fleet

Problem: a request that crashes each server that runs it may come again at any entry VM; nothing counted its crashes.

--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -13,8 +13,10 @@
  * The entry VMs that are alive, as they registered in the store. Loop's thread.
  */
 
+/** Everything that entry VMs write to the store. */
+#define FLEET_KEY_PREFIX "auburnreach/"
 /** Keys of entry VMs: this prefix and the VM's name. */
-#define VMS_KEY_PREFIX "auburnreach/vm/"
+#define VMS_KEY_PREFIX FLEET_KEY_PREFIX "vm/"
 
 struct vm {
 	char *name;
--- a/src/proxy/belief.c
+++ b/src/proxy/belief.c
@@ -8,6 +8,7 @@
 #include "kv/mirror.h"
 #include "platform/config_codec.h"
 #include "platform/server_codec.h"
+#include "proxy/crash.h"
 
 /* Servers of a failure domain that was evacuated are taken as cold for this
  * long after it is taken back, if no service says otherwise. */
@@ -18,13 +19,13 @@
  * a leaving server must get no more requests, and a third of a lease. */
 #define GATHER_OPERATOR_MS 250
 #define GATHER_SERVERS_MS 400
-#define GATHER_VMS_MS 1000
+#define GATHER_FLEET_MS 1000
 
 struct belief {
 	struct proxy *proxy;
 	struct mirror *operator_keys;
 	struct mirror *server_keys;
-	struct mirror *vm_keys;
+	struct mirror *fleet_keys;
 	bool operator_read;
 	bool servers_read;
 };
@@ -58,11 +59,12 @@
 		 item->revision);
 }
 
-static const char *evacuated_domain(const char *key)
+/* @return what follows the prefix, or NULL when the key has another one. */
+static const char *behind(const char *key, const char *prefix)
 {
-	const size_t bytes = strlen(PLATFORM_KEY_EVACUATE);
+	const size_t bytes = strlen(prefix);
 
-	return strncmp(key, PLATFORM_KEY_EVACUATE, bytes) ? NULL : key + bytes;
+	return strncmp(key, prefix, bytes) ? NULL : key + bytes;
 }
 
 static uint32_t cold_after_evacuation_ms(const struct proxy *proxy)
@@ -78,7 +80,7 @@
 static void on_operator_put(void *context, const struct kv_item *item)
 {
 	struct proxy *proxy = ((struct belief *)context)->proxy;
-	const char *domain = evacuated_domain(item->key);
+	const char *domain = behind(item->key, PLATFORM_KEY_EVACUATE);
 
 	if (domain) {
 		g_hash_table_add(proxy->evacuated, g_strdup(domain));
@@ -92,7 +94,7 @@
 static void on_operator_removed(void *context, const char *key)
 {
 	struct proxy *proxy = ((struct belief *)context)->proxy;
-	const char *domain = evacuated_domain(key);
+	const char *domain = behind(key, PLATFORM_KEY_EVACUATE);
 
 	if (!domain || !g_hash_table_remove(proxy->evacuated, domain))
 		return;
@@ -148,24 +150,30 @@
 	belief->servers_read = true;
 }
 
-static void on_vm_put(void *context, const struct kv_item *item)
+static void on_fleet_put(void *context, const struct kv_item *item)
 {
 	struct proxy *proxy = ((struct belief *)context)->proxy;
+	const char *vm = behind(item->key, VMS_KEY_PREFIX);
+	const char *crash = behind(item->key, CRASH_KEY_PREFIX);
 
-	vms_put(proxy->vms, item->key + strlen(VMS_KEY_PREFIX), item->value,
-		item->value_bytes);
+	if (vm)
+		vms_put(proxy->vms, vm, item->value, item->value_bytes);
+	else if (crash)
+		crash_reported(proxy->crashes, crash);
 	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
 }
 
-static void on_vm_removed(void *context, const char *key)
+static void on_fleet_removed(void *context, const char *key)
 {
 	struct proxy *proxy = ((struct belief *)context)->proxy;
+	const char *vm = behind(key, VMS_KEY_PREFIX);
 
-	vms_remove(proxy->vms, key + strlen(VMS_KEY_PREFIX));
+	if (vm)
+		vms_remove(proxy->vms, vm);
 	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
 }
 
-static void on_vms_synced(void *context)
+static void on_fleet_synced(void *context)
 {
 	(void)context;
 }
@@ -181,10 +189,10 @@
 	.missing = on_server_missing,
 	.synced = on_servers_synced,
 };
-static const struct mirror_events vm_events = {
-	.put = on_vm_put,
-	.removed = on_vm_removed,
-	.synced = on_vms_synced,
+static const struct mirror_events fleet_events = {
+	.put = on_fleet_put,
+	.removed = on_fleet_removed,
+	.synced = on_fleet_synced,
 };
 
 struct belief *belief_new(struct proxy *proxy, const struct sockaddr_in *store)
@@ -200,10 +208,10 @@
 		mirror_new(proxy->base, proxy->clock, store,
 			   PLATFORM_PREFIX_SERVERS, GATHER_SERVERS_MS,
 			   &server_events, belief);
-	belief->vm_keys = mirror_new(proxy->base, proxy->clock, store,
-				     VMS_KEY_PREFIX, GATHER_VMS_MS, &vm_events,
+	belief->fleet_keys = mirror_new(proxy->base, proxy->clock, store,
+				     FLEET_KEY_PREFIX, GATHER_FLEET_MS, &fleet_events,
 				     belief);
-	if (belief->operator_keys && belief->server_keys && belief->vm_keys)
+	if (belief->operator_keys && belief->server_keys && belief->fleet_keys)
 		return belief;
 	belief_free(belief);
 	return NULL;
@@ -215,7 +223,7 @@
 		return;
 	mirror_free(belief->operator_keys);
 	mirror_free(belief->server_keys);
-	mirror_free(belief->vm_keys);
+	mirror_free(belief->fleet_keys);
 	g_free(belief);
 }
 
@@ -228,7 +236,7 @@
 {
 	mirror_resync(belief->operator_keys);
 	mirror_resync(belief->server_keys);
-	mirror_resync(belief->vm_keys);
+	mirror_resync(belief->fleet_keys);
 }
 
 int64_t belief_servers_age_ms(const struct belief *belief)
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "platform/header_codec.h"
+#include "proxy/crash.h"
 #include "proxy/exchange_internal.h"
 #include "proxy/headers.h"
 
@@ -174,6 +175,21 @@
 	e->proxy->body_bytes += bytes;
 }
 
+/* The same request has the same start line, object and body; its id is new each
+ * time. */
+static uint64_t hash_request(struct exchange *e)
+{
+	size_t bytes = evbuffer_get_length(e->body);
+	const char *line = (const char *)evbuffer_pullup(e->head, -1);
+	uint64_t parts[3] = {
+		XXH3_64bits(line, strcspn(line, "\r")),
+		e->has_object ? e->object_hash : 0,
+		XXH3_64bits(evbuffer_pullup(e->body, -1), bytes),
+	};
+
+	return XXH3_64bits(parts, sizeof(parts));
+}
+
 void exchange_run(struct exchange *e)
 {
 	struct retry_share_rule rule;
@@ -183,6 +199,11 @@
 		exchange_fail(e, e->refusal, e->refusal_why);
 		return;
 	}
+	e->fingerprint = hash_request(e);
+	if (crash_refuses(e->proxy->crashes, e->fingerprint)) {
+		exchange_fail(e, 503, "crashes-servers");
+		return;
+	}
 	rule = exchange_retry_rule(e);
 	state = exchange_service_state(e);
 	retry_share_request(&state->retries, &rule, e->started_ms);
@@ -362,6 +383,9 @@
 	} else if (end == ATTEMPT_SILENT || end == ATTEMPT_NOT_CONNECTED) {
 		server_silent(server, proxy_now_ms(e->proxy));
 	} else if (outcome_blames_server(end)) {
+		if (end == ATTEMPT_BROKEN)
+			crash_suspect(e->proxy->crashes, server,
+				      e->fingerprint);
 		server_failed(server, outcome_text(end),
 			      proxy_now_ms(e->proxy));
 	} else if (end == ATTEMPT_ANSWERED) {
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -20,6 +20,7 @@
 	char *id;
 	char *method;
 	uint64_t object_hash;
+	uint64_t fingerprint; /* equal when the same request comes again */
 	bool has_object; /* the caller told what the request concerns */
 	struct evbuffer *head;
 	struct evbuffer *body;
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -13,6 +13,7 @@
 #include "platform/directory_codec.h"
 #include "proxy/belief.h"
 #include "proxy/caller.h"
+#include "proxy/crash.h"
 #include "proxy/directory.h"
 #include "proxy/endpoint.h"
 #include "proxy/pause.h"
@@ -133,6 +134,9 @@
 	proxy->vms = vms_new(&proxy->topology);
 	if (!open_listeners(entry))
 		return false;
+	proxy->crashes = crash_watch_new(proxy, &store);
+	if (!proxy->crashes)
+		return false;
 	proxy->belief = belief_new(proxy, &store);
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
 	text = vms_entry_text(settings->request_address,
@@ -159,6 +163,7 @@
 	stop_free(entry->stop);
 	presence_free(entry->presence);
 	belief_free(proxy->belief);
+	crash_watch_free(proxy->crashes);
 	endpoint_free(entry->metrics);
 	endpoint_free(entry->directory);
 	endpoint_free(entry->ready);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -24,6 +24,7 @@
  */
 
 struct belief;
+struct crash_watch;
 
 /** What this VM keeps for each service, beside its servers. */
 struct service_state {
@@ -50,6 +51,7 @@
 	struct servers *servers;
 	struct vms *vms;
 	struct belief *belief;
+	struct crash_watch *crashes;
 	GHashTable *service_states; /**< name to struct service_state */
 	GHashTable *route_states;   /**< name to struct route_state */
 	struct warmth warmth;
