fix(proxy): many servers that fall at once are no sign of one request

Solution: a crash is judged 500 ms later; where more than two servers fell about then, it counts for no request.

--- a/src/proxy/crash.c
+++ b/src/proxy/crash.c
@@ -21,6 +21,10 @@
 #define REPORT_TTL_MS 120000
 #define CALL_TIMEOUT_MS 1000
 #define REPORTS_MAX 16
+/* A crash is judged after this time. Where more servers than this fell about
+ * then, it was a failure domain or a rack, not a request. */
+#define JUDGE_AFTER_MS 500
+#define SERVERS_OF_REQUEST_MAX 2
 
 struct probe {
 	struct crash_watch *watch;
@@ -28,6 +32,8 @@
 	uint64_t fingerprint;
 	struct event *timer;
 	struct http_stream *stream;
+	bool judged;
+	int64_t fell_ms; /* the server did not listen; 0: not known yet */
 };
 
 struct crash_watch {
@@ -114,10 +120,39 @@
 			 fingerprint, server_id);
 }
 
-static void on_crashed(struct probe *probe)
+static uint32_t servers_fallen(const struct crash_watch *watch, int64_t about_ms)
+{
+	const struct server *seen[SERVERS_OF_REQUEST_MAX + 1];
+	uint32_t count = 0;
+	GList *link;
+	uint32_t i;
+
+	for (link = watch->probes.head; link; link = link->next) {
+		const struct probe *probe = link->data;
+
+		if (!probe->fell_ms ||
+		    llabs(probe->fell_ms - about_ms) > JUDGE_AFTER_MS)
+			continue;
+		for (i = 0; i < count && seen[i] != probe->server; i++)
+			;
+		if (i == count)
+			seen[count++] = probe->server;
+		if (count > SERVERS_OF_REQUEST_MAX)
+			break;
+	}
+	return count;
+}
+
+/* The probe stays in the list a while longer, for others to be judged by. */
+static void judge(struct probe *probe)
 {
 	struct crash_watch *watch = probe->watch;
 
+	if (servers_fallen(watch, probe->fell_ms) > SERVERS_OF_REQUEST_MAX) {
+		log_info("crash", "several servers fell at once server=%s",
+			 probe->server->id);
+		return;
+	}
 	log_warn("crash", "server crashed under a request server=%s "
 		 "fingerprint=%016" PRIx64, probe->server->id,
 		 probe->fingerprint);
@@ -128,10 +163,24 @@
 						  "%016" PRIx64 "/%s",
 						  probe->fingerprint,
 						  probe->server->id));
-	probe_free(probe);
 	send_report(watch);
 }
 
+static void set_timer(struct probe *probe, uint32_t ms)
+{
+	const struct timeval delay = { 0, ms * 1000 };
+
+	evtimer_add(probe->timer, &delay);
+}
+
+static void on_crashed(struct probe *probe)
+{
+	http_stream_free(probe->stream);
+	probe->stream = NULL;
+	probe->fell_ms = proxy_now_ms(probe->watch->proxy);
+	set_timer(probe, JUDGE_AFTER_MS);
+}
+
 static void on_connected(void *context)
 {
 	probe_free(context); /* it lives: an answer was lost */
@@ -154,6 +203,16 @@
 
 	(void)fd;
 	(void)what;
+	if (probe->judged) {
+		probe_free(probe);
+		return;
+	}
+	if (probe->fell_ms) {
+		judge(probe);
+		probe->judged = true;
+		set_timer(probe, JUDGE_AFTER_MS);
+		return;
+	}
 	probe->stream = http_stream_connect(probe->watch->proxy->base,
 					    &probe->server->address,
 					    PROBE_SILENCE_MS, &probe_events,
@@ -175,7 +234,6 @@
 void crash_suspect(struct crash_watch *watch, struct server *server,
 		   uint64_t fingerprint)
 {
-	const struct timeval delay = { 0, PROBE_AFTER_MS * 1000 };
 	struct probe *probe;
 
 	if (!may_probe(watch))
@@ -187,7 +245,7 @@
 	probe->server = server_hold(server);
 	probe->fingerprint = fingerprint;
 	probe->timer = evtimer_new(watch->proxy->base, on_timer, probe);
-	evtimer_add(probe->timer, &delay);
+	set_timer(probe, PROBE_AFTER_MS);
 	g_queue_push_tail(&watch->probes, probe);
 }
 
