test: the whole path on a stand-in of the platform, with real processes

Solution: standin-platform (store with leases, watches and faults; operator; backend servers that note every run) and two functional tests: requests, limits, directory, faults, list, configurations, store; and stops, reloads, kills and pauses under orders, judged by what ran and what callers heard. A small HTTP server is shared by the entry VM's questions and the stand-in.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -7,8 +7,8 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "net/http_stream.h"
+#include "net/responder.h"
 #include "proxy/exchange.h"
-#include "proxy/headers.h"
 
 /* Limits until a configuration is known. */
 static const struct caller_limits default_limits = {
@@ -225,7 +225,7 @@
 	caller->framing = framing;
 	caller->closing |= close || caller->proxy->stopping;
 	evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", status,
-			    headers_reason(status));
+			    responder_reason(status));
 	if (headers)
 		evbuffer_add_buffer(out, headers);
 	if (framing == ANSWER_SIZED)
--- a/src/proxy/directory.c
+++ b/src/proxy/directory.c
@@ -31,18 +31,19 @@
 	return count;
 }
 
-uint16_t directory_answer(void *context, const char *method,
-			  const char *target, struct evbuffer *body,
-			  const char **media_type)
+void directory_answer(void *context, struct responder_request *request)
 {
 	struct proxy *proxy = context;
 	const char *addresses[DIRECTORY_ADDRESSES_MAX];
 	struct directory_question question;
+	struct evbuffer *body;
 	uint32_t count;
 
-	*media_type = "application/json";
-	if (strcmp(method, "GET") || !directory_decode(target, &question))
-		return 404;
+	if (strcmp(request->head->method, "GET") ||
+	    !directory_decode(request->head->target, &question)) {
+		responder_reply(request, 404, NULL, NULL);
+		return;
+	}
 	counter_add(COUNTER_LOOKUPS, 1);
 	count = collect(proxy, question.region, addresses);
 	if (!count)
@@ -53,8 +54,12 @@
 		counter_add(COUNTER_LOOKUPS_REFUSED, 1);
 		log_info("directory", "no VM is known region=%s",
 			 question.region);
-		return 503;
+		responder_reply(request, 503, NULL, NULL);
+		return;
 	}
+	body = evbuffer_new();
 	directory_encode(body, addresses, count, TTL_S);
-	return 200;
+	responder_reply(request, 200, "Content-Type: application/json\r\n",
+			body);
+	evbuffer_free(body);
 }
--- a/src/proxy/directory.h
+++ b/src/proxy/directory.h
@@ -1,8 +1,7 @@
 #ifndef PROXY_DIRECTORY_H
 #define PROXY_DIRECTORY_H
 
-#include <event2/buffer.h>
-
+#include "net/responder.h"
 #include "proxy/proxy_defs.h"
 
 /**
@@ -11,9 +10,7 @@
  * where there are any.
  */
 
-/** An endpoint_answer; `context` is the proxy. */
-uint16_t directory_answer(void *context, const char *method,
-			  const char *target, struct evbuffer *body,
-			  const char **media_type);
+/** A responder_handler; `context` is the proxy. */
+void directory_answer(void *context, struct responder_request *request);
 
 #endif
--- a/src/proxy/headers.c
+++ b/src/proxy/headers.c
@@ -52,33 +52,3 @@
 					    header->value);
 	}
 }
-
-const char *headers_reason(uint16_t status)
-{
-	switch (status) {
-	case 200:
-		return "OK";
-	case 400:
-		return "Bad Request";
-	case 404:
-		return "Not Found";
-	case 408:
-		return "Request Timeout";
-	case 413:
-		return "Content Too Large";
-	case 429:
-		return "Too Many Requests";
-	case 431:
-		return "Request Header Fields Too Large";
-	case 500:
-		return "Internal Server Error";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return "Status";
-	}
-}
--- a/src/proxy/headers.h
+++ b/src/proxy/headers.h
@@ -13,7 +13,4 @@
 /** Adds an answer's headers as lines, without the body's framing. */
 void headers_copy_answer(const struct http_head *head, struct evbuffer *out);
 
-/** @return the standard text of a status code. */
-const char *headers_reason(uint16_t status);
-
 #endif
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -10,12 +10,12 @@
 #include "base/log.h"
 #include "kv/presence.h"
 #include "net/listener.h"
+#include "net/responder.h"
 #include "platform/directory_codec.h"
 #include "proxy/belief.h"
 #include "proxy/caller.h"
 #include "proxy/crash.h"
 #include "proxy/directory.h"
-#include "proxy/endpoint.h"
 #include "proxy/pause.h"
 #include "proxy/reload.h"
 #include "proxy/stop.h"
@@ -31,43 +31,38 @@
 	struct reload *reload;
 	struct pause_watch *pause;
 	struct evconnlistener *requests;
-	struct endpoint *ready;
-	struct endpoint *directory;
-	struct endpoint *metrics;
+	struct responder *ready;
+	struct responder *directory;
+	struct responder *metrics;
 };
 
-static uint16_t answer_ready(void *context, const char *method,
-			     const char *target, struct evbuffer *body,
-			     const char **media_type)
+static void answer_ready(void *context, struct responder_request *request)
 {
 	const struct proxy *proxy = context;
+	bool ready = !proxy->stopping && proxy->config &&
+		     belief_complete(proxy->belief);
 
-	(void)method;
-	(void)body;
-	(void)media_type;
-	if (strcmp(target, READY_PATH))
-		return 404;
-	return !proxy->stopping && proxy->config &&
-			       belief_complete(proxy->belief) ?
-		       200 :
-		       503;
+	if (strcmp(request->head->target, READY_PATH))
+		responder_reply(request, 404, NULL, NULL);
+	else
+		responder_reply(request, ready ? 200 : 503, NULL, NULL);
 }
 
-static uint16_t answer_metrics(void *context, const char *method,
-			       const char *target, struct evbuffer *body,
-			       const char **media_type)
+static void answer_metrics(void *context, struct responder_request *request)
 {
+	struct evbuffer *body = evbuffer_new();
 	GString *text = g_string_new(NULL);
 
 	(void)context;
-	(void)method;
-	(void)target;
-	*media_type = "application/openmetrics-text; version=1.0.0";
 	counter_write(text);
 	g_string_append(text, "# EOF\n");
 	evbuffer_add(body, text->str, text->len);
+	responder_reply(request, 200,
+			"Content-Type: application/openmetrics-text; "
+			"version=1.0.0; charset=utf-8\r\n",
+			body);
 	g_string_free(text, true);
-	return 200;
+	evbuffer_free(body);
 }
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -87,12 +82,12 @@
 
 	entry->requests = listener_open(proxy->base, settings->request_address,
 					on_accept, proxy);
-	entry->ready = endpoint_new(proxy->base, settings->ready_address,
+	entry->ready = responder_new(proxy->base, settings->ready_address,
 				    answer_ready, proxy);
 	if (!entry->requests || !entry->ready)
 		return false;
 	if (*settings->directory_address) {
-		entry->directory = endpoint_new(proxy->base,
+		entry->directory = responder_new(proxy->base,
 						settings->directory_address,
 						directory_answer, proxy);
 		if (!entry->directory)
@@ -100,7 +95,7 @@
 	}
 	/* a fleet is served without metrics rather than not at all */
 	if (*settings->metrics_address)
-		entry->metrics = endpoint_new(proxy->base,
+		entry->metrics = responder_new(proxy->base,
 					      settings->metrics_address,
 					      answer_metrics, proxy);
 	return true;
@@ -164,9 +159,9 @@
 	presence_free(entry->presence);
 	belief_free(proxy->belief);
 	crash_watch_free(proxy->crashes);
-	endpoint_free(entry->metrics);
-	endpoint_free(entry->directory);
-	endpoint_free(entry->ready);
+	responder_free(entry->metrics);
+	responder_free(entry->directory);
+	responder_free(entry->ready);
 	if (entry->requests)
 		evconnlistener_free(entry->requests);
 	vms_free(proxy->vms);
--- /dev/null
+++ b/standin/platform_kv.c
@@ -0,0 +1,513 @@
+#include "platform_kv.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/attributes.h"
+#include "base/clock.h"
+
+#define EVENTS_MAX 10000
+#define PAGE_ITEMS_MAX 50
+#define JSON_TYPE "Content-Type: application/json\r\n"
+
+struct item {
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t lease;
+};
+
+struct lease {
+	struct platform_kv *kv;
+	uint64_t id;
+	uint32_t ttl_ms;
+	struct event *timer;
+};
+
+struct watch {
+	struct platform_kv *kv;
+	struct responder_request *request;
+	char *prefix;
+	uint64_t after;
+	struct event *timer;
+};
+
+struct platform_kv {
+	struct event_base *base;
+	GTree *items;	    /* key to struct item */
+	GHashTable *leases; /* id to struct lease */
+	GQueue events;	    /* json_t *, oldest first */
+	GQueue watches;
+	uint64_t revision;
+	uint64_t compacted;
+	uint64_t next_lease;
+	uint64_t calls;
+	enum platform_kv_fault fault;
+};
+
+static const char *const fault_names[] = { "sound", "busy", "silent", "reset" };
+
+static int compare_keys(const void *a, const void *b, void *data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+static void item_free(gpointer data)
+{
+	struct item *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
+static void lease_free(gpointer data)
+{
+	struct lease *lease = data;
+
+	event_free(lease->timer);
+	g_free(lease);
+}
+
+struct platform_kv *platform_kv_new(struct event_base *base)
+{
+	struct platform_kv *kv = g_new0(struct platform_kv, 1);
+
+	kv->base = base;
+	kv->items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
+	kv->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   lease_free);
+	kv->revision = 1;
+	kv->next_lease = 1000;
+	return kv;
+}
+
+static void reply_json(struct responder_request *request, uint16_t status,
+		       json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	struct evbuffer *body = evbuffer_new();
+
+	evbuffer_add(body, text, strlen(text));
+	responder_reply(request, status, JSON_TYPE, body);
+	evbuffer_free(body);
+	free(text);
+	json_decref(value);
+}
+
+static json_t *item_json(const char *key, const struct item *item)
+{
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "Key", key, "Value",
+			 item->value, "Revision", (json_int_t)item->revision,
+			 "Created", (json_int_t)item->revision, "Lease",
+			 (json_int_t)item->lease);
+}
+
+/* Sends the events that a watch waits for, if there are any. */
+static bool answer_watch(struct watch *watch, bool even_if_none)
+{
+	struct platform_kv *kv = watch->kv;
+	json_t *events = json_array();
+	GList *link;
+
+	for (link = kv->events.head; link; link = link->next) {
+		json_t *event = link->data;
+		uint64_t revision = (uint64_t)json_integer_value(
+			json_object_get(event, "Revision"));
+
+		if (revision > watch->after &&
+		    g_str_has_prefix(json_string_value(json_object_get(
+					     event, "Key")),
+				     watch->prefix))
+			json_array_append(events, event);
+	}
+	if (!json_array_size(events) && !even_if_none) {
+		json_decref(events);
+		return false;
+	}
+	reply_json(watch->request, 200,
+		   json_pack("{s:o,s:I}", "events", events, "CurrentRev",
+			     (json_int_t)kv->revision));
+	return true;
+}
+
+static void watch_free(struct watch *watch)
+{
+	g_queue_remove(&watch->kv->watches, watch);
+	event_free(watch->timer);
+	g_free(watch->prefix);
+	g_free(watch);
+}
+
+static void wake_watches(struct platform_kv *kv)
+{
+	GList *link = kv->watches.head;
+
+	while (link) {
+		struct watch *watch = link->data;
+
+		link = link->next;
+		if (answer_watch(watch, false))
+			watch_free(watch);
+	}
+}
+
+static void record(struct platform_kv *kv, json_t *event)
+{
+	g_queue_push_tail(&kv->events, event);
+	if (g_queue_get_length(&kv->events) <= EVENTS_MAX)
+		return;
+	event = g_queue_pop_head(&kv->events);
+	kv->compacted = (uint64_t)json_integer_value(
+		json_object_get(event, "Revision"));
+	json_decref(event);
+}
+
+static void put_base64(struct platform_kv *kv, const char *key,
+		       const char *value, uint64_t lease)
+{
+	struct item *item = g_new0(struct item, 1);
+
+	item->value = g_strdup(value);
+	item->revision = ++kv->revision;
+	item->lease = lease;
+	g_tree_replace(kv->items, g_strdup(key), item);
+	record(kv, item_json(key, item));
+}
+
+void platform_kv_put(struct platform_kv *kv, const char *key, const char *value)
+{
+	char *base64 =
+		g_base64_encode((const guchar *)value, strlen(value));
+
+	put_base64(kv, key, base64, 0);
+	g_free(base64);
+	wake_watches(kv);
+}
+
+static void remove_key(struct platform_kv *kv, const char *key)
+{
+	char *copy = g_strdup(key);
+
+	if (g_tree_remove(kv->items, copy))
+		record(kv, json_pack("{s:s,s:I,s:b}", "Key", copy, "Revision",
+				     (json_int_t)++kv->revision, "Removed", 1));
+	g_free(copy);
+}
+
+void platform_kv_remove(struct platform_kv *kv, const char *key)
+{
+	remove_key(kv, key);
+	wake_watches(kv);
+}
+
+struct bound_keys {
+	uint64_t lease;
+	GPtrArray *keys;
+};
+
+static gboolean collect_bound(gpointer key, gpointer value, gpointer data)
+{
+	struct bound_keys *bound = data;
+
+	if (((struct item *)value)->lease == bound->lease)
+		g_ptr_array_add(bound->keys, g_strdup(key));
+	return false;
+}
+
+static void end_lease(struct platform_kv *kv, uint64_t id)
+{
+	struct bound_keys bound = { id, g_ptr_array_new_with_free_func(g_free) };
+	guint i;
+
+	g_tree_foreach(kv->items, collect_bound, &bound);
+	for (i = 0; i < bound.keys->len; i++)
+		remove_key(kv, g_ptr_array_index(bound.keys, i));
+	g_ptr_array_free(bound.keys, true);
+	g_hash_table_remove(kv->leases, &id);
+	wake_watches(kv);
+}
+
+static void on_lease_end(evutil_socket_t fd, short what, void *context)
+{
+	struct lease *lease = context;
+
+	(void)fd;
+	(void)what;
+	end_lease(lease->kv, lease->id);
+}
+
+static void arm(struct event *timer, uint32_t ms)
+{
+	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
+
+	evtimer_add(timer, &delay);
+}
+
+static void handle_lease(struct platform_kv *kv,
+			 struct responder_request *request, json_t *body)
+{
+	struct lease *lease = g_new0(struct lease, 1);
+
+	lease->kv = kv;
+	lease->id = kv->next_lease++;
+	lease->ttl_ms = (uint32_t)json_integer_value(
+		json_object_get(body, "TtlMs"));
+	lease->timer = evtimer_new(kv->base, on_lease_end, lease);
+	arm(lease->timer, lease->ttl_ms);
+	g_hash_table_insert(kv->leases, &lease->id, lease);
+	reply_json(request, 200,
+		   json_pack("{s:I,s:I}", "Lease", (json_int_t)lease->id,
+			     "TtlMs", (json_int_t)lease->ttl_ms));
+}
+
+static struct lease *find_lease(const struct platform_kv *kv, const char *text)
+{
+	uint64_t id = strtoull(text, NULL, 10);
+
+	return g_hash_table_lookup(kv->leases, &id);
+}
+
+static bool conditions_hold(const struct platform_kv *kv, json_t *expected)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(expected); i++) {
+		json_t *row = json_array_get(expected, i);
+		const char *key =
+			json_string_value(json_object_get(row, "Key"));
+		const struct item *item =
+			key ? g_tree_lookup(kv->items, key) : NULL;
+		uint64_t revision = (uint64_t)json_integer_value(
+			json_object_get(row, "Revision"));
+
+		if (!key || revision != (item ? item->revision : 0))
+			return false;
+	}
+	return true;
+}
+
+static void handle_txn(struct platform_kv *kv,
+		       struct responder_request *request, json_t *body)
+{
+	json_t *puts = json_object_get(body, "Puts");
+	json_t *removed = json_object_get(body, "Remove");
+	size_t i;
+
+	if (!conditions_hold(kv, json_object_get(body, "Expected"))) {
+		reply_json(request, 412, json_pack("{s:[]}", "items"));
+		return;
+	}
+	for (i = 0; i < json_array_size(puts); i++) {
+		json_t *row = json_array_get(puts, i);
+		uint64_t lease = (uint64_t)json_integer_value(
+			json_object_get(row, "Lease"));
+
+		if (lease && !g_hash_table_contains(kv->leases, &lease)) {
+			responder_reply(request, 404, NULL, NULL);
+			return;
+		}
+		put_base64(kv, json_string_value(json_object_get(row, "Key")),
+			   json_string_value(json_object_get(row, "Value")),
+			   lease);
+	}
+	for (i = 0; i < json_array_size(removed); i++)
+		remove_key(kv, json_string_value(json_array_get(removed, i)));
+	reply_json(request, 200,
+		   json_pack("{s:I}", "Revision", (json_int_t)kv->revision));
+	wake_watches(kv);
+}
+
+struct page {
+	const char *prefix;
+	const char *after;
+	json_t *items;
+	bool truncated;
+};
+
+static gboolean collect_item(gpointer key, gpointer value, gpointer data)
+{
+	struct page *page = data;
+
+	if (!g_str_has_prefix(key, page->prefix) ||
+	    (page->after && strcmp(key, page->after) <= 0))
+		return false;
+	if (json_array_size(page->items) == PAGE_ITEMS_MAX) {
+		page->truncated = true;
+		return true;
+	}
+	json_array_append_new(page->items, item_json(key, value));
+	return false;
+}
+
+static void handle_range(struct platform_kv *kv,
+			 struct responder_request *request,
+			 const struct evkeyvalq *query)
+{
+	struct page page = {
+		.prefix = evhttp_find_header(query, "Prefix"),
+		.after = evhttp_find_header(query, "after"),
+		.items = json_array(),
+	};
+
+	if (!page.prefix)
+		page.prefix = "";
+	g_tree_foreach(kv->items, collect_item, &page);
+	reply_json(request, 200,
+		   json_pack("{s:o,s:b,s:I}", "items", page.items, "Truncated",
+			     page.truncated, "CurrentRev",
+			     (json_int_t)kv->revision));
+}
+
+static void on_watch_gone(void *context)
+{
+	watch_free(context);
+}
+
+static void on_watch_end(evutil_socket_t fd, short what, void *context)
+{
+	struct watch *watch = context;
+
+	(void)fd;
+	(void)what;
+	answer_watch(watch, true);
+	watch_free(watch);
+}
+
+static void handle_watch(struct platform_kv *kv,
+			 struct responder_request *request,
+			 const struct evkeyvalq *query)
+{
+	const char *prefix = evhttp_find_header(query, "Prefix");
+	const char *after = evhttp_find_header(query, "after");
+	const char *wait = evhttp_find_header(query, "WaitMs");
+	struct watch *watch;
+
+	if (!prefix || !after || !wait) {
+		responder_reply(request, 400, NULL, NULL);
+		return;
+	}
+	if (strtoull(after, NULL, 10) < kv->compacted) {
+		responder_reply(request, 410, NULL, NULL);
+		return;
+	}
+	watch = g_new0(struct watch, 1);
+	watch->kv = kv;
+	watch->request = request;
+	watch->prefix = g_strdup(prefix);
+	watch->after = strtoull(after, NULL, 10);
+	watch->timer = evtimer_new(kv->base, on_watch_end, watch);
+	g_queue_push_tail(&kv->watches, watch);
+	if (answer_watch(watch, false)) {
+		watch_free(watch);
+		return;
+	}
+	request->gone = on_watch_gone;
+	request->context = watch;
+	arm(watch->timer, (uint32_t)strtoul(wait, NULL, 10));
+}
+
+static void handle_call(struct platform_kv *kv,
+			struct responder_request *request)
+{
+	const char *target = request->head->target;
+	const char *question = strchr(target, '?');
+	struct evkeyvalq query = { 0 };
+	json_t *body = json_loadb(
+		(const char *)evbuffer_pullup(request->body, -1),
+		evbuffer_get_length(request->body), 0, NULL);
+	struct lease *lease = NULL;
+
+	if (question)
+		evhttp_parse_query_str(question + 1, &query);
+	if (g_str_has_prefix(target, "/kv-range"))
+		handle_range(kv, request, &query);
+	else if (g_str_has_prefix(target, "/kv-watch"))
+		handle_watch(kv, request, &query);
+	else if (g_str_has_prefix(target, "/kv-txn"))
+		handle_txn(kv, request, body);
+	else if (g_str_has_prefix(target, "/kv-keep/"))
+		lease = find_lease(kv, target + strlen("/kv-keep/"));
+	else if (g_str_has_prefix(target, "/kv-lease-end/"))
+		lease = find_lease(kv, target + strlen("/kv-lease-end/"));
+	else if (g_str_has_prefix(target, "/kv-lease"))
+		handle_lease(kv, request, body);
+	if (lease && g_str_has_prefix(target, "/kv-keep/")) {
+		arm(lease->timer, lease->ttl_ms);
+		reply_json(request, 200,
+			   json_pack("{s:I}", "TtlMs",
+				     (json_int_t)lease->ttl_ms));
+	} else if (lease) {
+		end_lease(kv, lease->id);
+		responder_reply(request, 200, NULL, NULL);
+	} else if (g_str_has_prefix(target, "/kv-keep/") ||
+		   g_str_has_prefix(target, "/kv-lease-end/")) {
+		responder_reply(request, 404, NULL, NULL);
+	}
+	if (question)
+		evhttp_clear_headers(&query);
+	json_decref(body);
+}
+
+void platform_kv_handle(void *context, struct responder_request *request)
+{
+	struct platform_kv *kv = context;
+
+	kv->calls++;
+	switch (kv->fault) {
+	case PLATFORM_KV_BUSY:
+		responder_reply(request, 503, NULL, NULL);
+		return;
+	case PLATFORM_KV_SILENT:
+		return;
+	case PLATFORM_KV_RESET:
+		responder_break(request);
+		return;
+	default:
+		handle_call(kv, request);
+	}
+}
+
+static void break_watches(struct platform_kv *kv)
+{
+	while (!g_queue_is_empty(&kv->watches)) {
+		struct watch *watch = g_queue_peek_head(&kv->watches);
+
+		responder_break(watch->request);
+		watch_free(watch);
+	}
+}
+
+bool platform_kv_set_fault(struct platform_kv *kv, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(fault_names); i++) {
+		if (strcmp(name, fault_names[i]))
+			continue;
+		kv->fault = (enum platform_kv_fault)i;
+		if (kv->fault != PLATFORM_KV_SOUND)
+			break_watches(kv);
+		return true;
+	}
+	return false;
+}
+
+void platform_kv_compact(struct platform_kv *kv)
+{
+	json_t *event;
+
+	while ((event = g_queue_pop_head(&kv->events)))
+		json_decref(event);
+	kv->compacted = ++kv->revision;
+	break_watches(kv);
+}
+
+uint64_t platform_kv_calls(const struct platform_kv *kv)
+{
+	return kv->calls;
+}
--- /dev/null
+++ b/standin/platform_main.c
@@ -0,0 +1,240 @@
+#include <argtable2.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/attributes.h"
+#include "base/log.h"
+#include "platform_kv.h"
+#include "platform_server.h"
+
+/**
+ * @file
+ * standin-platform: the platform that auburnreach-entry runs on, in one
+ * process: its key-value store, its operator and its backend servers. Steered
+ * by POST requests with a JSON body at the control address:
+ *
+ *     /config    the operator's configuration
+ *     /evacuate  {"domain": "a", "on": true}
+ *     /server    {"id", "address", "service", "domain", "slots", "work_ms"}
+ *     /drain     {"id"}        the server says that it leaves
+ *     /unlist    {"id"}        its entry vanishes, it goes on serving
+ *     /kill      {"id"}        it is gone, its entry stays
+ *     /fault     {"id", "fault"}, without an id: of the store
+ *     /compact   {}            the store forgets its history
+ *
+ * GET /runs names the servers that ran each request, GET /calls counts calls.
+ */
+
+struct platform {
+	struct event_base *base;
+	struct platform_kv *kv;
+	GHashTable *servers; /* id to struct platform_server */
+	GHashTable *runs;    /* request id to GPtrArray of server ids */
+};
+
+static const char *text_of(json_t *body, const char *name)
+{
+	const char *text = json_string_value(json_object_get(body, name));
+
+	return text ? text : "";
+}
+
+static bool add_server(struct platform *platform, json_t *body)
+{
+	struct platform_server_options options = {
+		.id = text_of(body, "id"),
+		.address = text_of(body, "address"),
+		.service = text_of(body, "service"),
+		.failure_domain = text_of(body, "domain"),
+		.slots = (uint32_t)json_integer_value(
+			json_object_get(body, "slots")),
+		.work_ms = (uint32_t)json_integer_value(
+			json_object_get(body, "work_ms")),
+	};
+	struct platform_server *server = platform_server_new(
+		platform->base, platform->kv, platform->runs, &options);
+
+	if (!server)
+		return false;
+	g_hash_table_insert(platform->servers, g_strdup(options.id), server);
+	return true;
+}
+
+static bool set_config(struct platform *platform, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	platform_kv_put(platform->kv, "op/config", text);
+	free(text);
+	return true;
+}
+
+static bool evacuate(struct platform *platform, json_t *body)
+{
+	char *key = g_strconcat("op/evacuate/", text_of(body, "domain"), NULL);
+
+	if (json_is_true(json_object_get(body, "on")))
+		platform_kv_put(platform->kv, key, "{}");
+	else
+		platform_kv_remove(platform->kv, key);
+	g_free(key);
+	return true;
+}
+
+static bool steer_server(struct platform *platform, const char *what,
+			 json_t *body)
+{
+	const char *id = text_of(body, "id");
+	struct platform_server *server =
+		g_hash_table_lookup(platform->servers, id);
+	char *key;
+
+	if (!server)
+		return false;
+	if (!strcmp(what, "/drain")) {
+		platform_server_drain(server);
+	} else if (!strcmp(what, "/unlist")) {
+		key = g_strconcat("servers/", id, NULL);
+		platform_kv_remove(platform->kv, key);
+		g_free(key);
+	} else if (!strcmp(what, "/kill")) {
+		g_hash_table_remove(platform->servers, id);
+	} else {
+		return platform_server_set_fault(server,
+						 text_of(body, "fault"));
+	}
+	return true;
+}
+
+static bool steer(struct platform *platform, const char *what, json_t *body)
+{
+	if (!strcmp(what, "/config"))
+		return set_config(platform, body);
+	if (!strcmp(what, "/evacuate"))
+		return evacuate(platform, body);
+	if (!strcmp(what, "/server"))
+		return add_server(platform, body);
+	if (!strcmp(what, "/fault") && !*text_of(body, "id"))
+		return platform_kv_set_fault(platform->kv,
+					     text_of(body, "fault"));
+	if (!strcmp(what, "/compact")) {
+		platform_kv_compact(platform->kv);
+		return true;
+	}
+	return steer_server(platform, what, body);
+}
+
+static json_t *runs_json(const struct platform *platform)
+{
+	json_t *all = json_object();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, platform->runs);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const GPtrArray *list = value;
+		json_t *servers = json_array();
+
+		for (i = 0; i < list->len; i++)
+			json_array_append_new(
+				servers,
+				json_string(g_ptr_array_index(list, i)));
+		json_object_set_new(all, key, servers);
+	}
+	return all;
+}
+
+static void on_control(void *context, struct responder_request *request)
+{
+	struct platform *platform = context;
+	const char *target = request->head->target;
+	struct evbuffer *answer = evbuffer_new();
+	json_t *body = json_loadb(
+		(const char *)evbuffer_pullup(request->body, -1),
+		evbuffer_get_length(request->body), 0, NULL);
+	bool known = true;
+	json_t *runs;
+	char *text;
+
+	if (!strcmp(target, "/runs")) {
+		runs = runs_json(platform);
+		text = json_dumps(runs, JSON_COMPACT);
+		evbuffer_add(answer, text, strlen(text));
+		free(text);
+		json_decref(runs);
+	} else if (!strcmp(target, "/calls")) {
+		evbuffer_add_printf(answer, "%lu\n",
+				    (unsigned long)platform_kv_calls(
+					    platform->kv));
+	} else {
+		known = body && steer(platform, target, body);
+	}
+	responder_reply(request, known ? 200 : 400, NULL, answer);
+	evbuffer_free(answer);
+	json_decref(body);
+}
+
+static void on_signal(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	event_base_loopbreak(context);
+}
+
+static int serve(const char *store_address, const char *control_address)
+{
+	struct platform platform = { .base = event_base_new() };
+	struct responder *store;
+	struct responder *control;
+	struct event *stop;
+
+	platform.kv = platform_kv_new(platform.base);
+	platform.servers = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free,
+		(GDestroyNotify)platform_server_free);
+	platform.runs = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free,
+		(GDestroyNotify)g_ptr_array_unref);
+	store = responder_new(platform.base, store_address, platform_kv_handle,
+			      platform.kv);
+	control = responder_new(platform.base, control_address, on_control,
+				&platform);
+	if (!store || !control)
+		return EXIT_FAILURE;
+	stop = evsignal_new(platform.base, SIGTERM, on_signal, platform.base);
+	evsignal_add(stop, NULL);
+	event_base_dispatch(platform.base);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *store =
+		arg_str1(NULL, "store", "IP:PORT", "address of the store");
+	struct arg_str *control =
+		arg_str1(NULL, "control", "IP:PORT", "address to steer it by");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { store, control, help, end };
+	int problems = arg_parse(argc, argv, table);
+	int code = EXIT_FAILURE;
+
+	if (help->count) {
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		code = EXIT_SUCCESS;
+	} else if (problems) {
+		arg_print_errors(stderr, end, "standin-platform");
+	} else {
+		signal(SIGPIPE, SIG_IGN);
+		log_open(LOG_LEVEL_WARN);
+		code = serve(store->sval[0], control->sval[0]);
+		log_close();
+	}
+	arg_freetable(table, ARRAY_SIZE(table));
+	return code;
+}
--- /dev/null
+++ b/standin/platform_server.c
@@ -0,0 +1,222 @@
+#include "platform_server.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/attributes.h"
+#include "base/clock.h"
+
+enum fault {
+	FAULT_NONE,
+	FAULT_REFUSE,
+	FAULT_LOSE,
+	FAULT_CUT,
+	FAULT_OTHER_ID,
+	FAULT_UNSTAMPED,
+};
+
+static const char *const fault_names[] = { "none", "refuse",   "lose",
+					   "cut",  "other-id", "unstamped" };
+
+struct platform_server {
+	struct event_base *base;
+	struct platform_kv *kv;
+	GHashTable *runs;
+	struct responder *responder;
+	char *id;
+	char *address;
+	char *service;
+	char *failure_domain;
+	uint32_t slots;
+	uint32_t work_ms;
+	uint32_t running;
+	uint32_t sequence;
+	bool draining;
+	enum fault fault;
+	GQueue work; /* requests that run */
+};
+
+struct work {
+	struct platform_server *server;
+	struct responder_request *request;
+	struct event *timer;
+	char *id;
+	char *method;
+	char *target;
+};
+
+static void register_self(struct platform_server *server)
+{
+	char *key = g_strconcat("servers/", server->id, NULL);
+	char *value = g_strdup_printf(
+		"{\"Address\":\"%s\",\"Info\":{\"Service\":\"%s\","
+		"\"Version\":\"v1\",\"Zone\":\"%s\",\"Slots\":%u},"
+		"\"Status\":{\"State\":\"%s\",\"Seq\":%u,\"ColdLeftMs\":0},"
+		"\"born\":1733286148000}",
+		server->address, server->service, server->failure_domain,
+		server->slots, server->draining ? "draining" : "ready",
+		++server->sequence);
+
+	platform_kv_put(server->kv, key, value);
+	g_free(key);
+	g_free(value);
+}
+
+static void work_free(struct work *work)
+{
+	work->server->running--;
+	g_queue_remove(&work->server->work, work);
+	event_free(work->timer);
+	g_free(work->id);
+	g_free(work->method);
+	g_free(work->target);
+	g_free(work);
+}
+
+static void on_gone(void *context)
+{
+	work_free(context);
+}
+
+static void on_done(evutil_socket_t fd, short what, void *context)
+{
+	struct work *work = context;
+	struct platform_server *server = work->server;
+	struct evbuffer *body = evbuffer_new();
+	char *headers = g_strdup_printf(
+		"Request-Id: %s\r\nBackend-Load: %u,0,%u\r\n%s",
+		server->fault == FAULT_OTHER_ID ? "other" : work->id,
+		server->running, server->slots,
+		server->fault == FAULT_UNSTAMPED ? "" :
+						   "Response-Stamp: s1\r\n");
+
+	(void)fd;
+	(void)what;
+	/* what came is echoed, so that a test sees whether it was changed */
+	evbuffer_add_printf(body, "%s %s %s\n", server->id, work->method,
+			    work->target);
+	evbuffer_add_buffer(body, work->request->body);
+	if (server->fault == FAULT_LOSE)
+		responder_break(work->request);
+	else if (server->fault == FAULT_CUT)
+		responder_cut(work->request, 200, headers, body,
+			      evbuffer_get_length(body) / 2);
+	else
+		responder_reply(work->request, 200, headers, body);
+	g_free(headers);
+	evbuffer_free(body);
+	work_free(work);
+}
+
+static void note_run(struct platform_server *server, const char *request_id)
+{
+	GPtrArray *list = g_hash_table_lookup(server->runs, request_id);
+
+	if (!list) {
+		list = g_ptr_array_new_with_free_func(g_free);
+		g_hash_table_insert(server->runs, g_strdup(request_id), list);
+	}
+	g_ptr_array_add(list, g_strdup(server->id));
+}
+
+static void run(struct platform_server *server,
+		struct responder_request *request, const char *request_id)
+{
+	const struct timeval delay = { server->work_ms / MS_PER_S,
+				       (server->work_ms % MS_PER_S) * 1000 };
+	struct work *work = g_new0(struct work, 1);
+
+	note_run(server, request_id);
+	server->running++;
+	work->server = server;
+	work->request = request;
+	work->id = g_strdup(request_id);
+	work->method = g_strdup(request->head->method);
+	work->target = g_strdup(request->head->target);
+	work->timer = evtimer_new(server->base, on_done, work);
+	g_queue_push_tail(&server->work, work);
+	request->gone = on_gone;
+	request->context = work;
+	evtimer_add(work->timer, &delay);
+}
+
+static void on_request(void *context, struct responder_request *request)
+{
+	struct platform_server *server = context;
+	const char *expected = http_head_get(request->head, "Expect-Instance");
+	const char *id = http_head_get(request->head, "Request-Id");
+	char headers[256];
+
+	if (expected && strcmp(expected, server->id)) {
+		snprintf(headers, sizeof(headers), "Instance-Id: %s\r\n",
+			 server->id);
+		responder_reply(request, 421, headers, NULL);
+	} else if (!id) {
+		responder_reply(request, 400, "Not-Executed: 1\r\n", NULL);
+	} else if (server->fault == FAULT_REFUSE ||
+		   server->running >= server->slots) {
+		snprintf(headers, sizeof(headers),
+			 "Not-Executed: 1\r\nRequest-Id: %s\r\n"
+			 "Backend-Load: %u,0,%u\r\n",
+			 id, server->running, server->slots);
+		responder_reply(request, 503, headers, NULL);
+	} else {
+		run(server, request, id);
+	}
+}
+
+struct platform_server *
+platform_server_new(struct event_base *base, struct platform_kv *kv,
+		    GHashTable *runs,
+		    const struct platform_server_options *options)
+{
+	struct platform_server *server = g_new0(struct platform_server, 1);
+
+	server->base = base;
+	server->kv = kv;
+	server->runs = runs;
+	server->id = g_strdup(options->id);
+	server->address = g_strdup(options->address);
+	server->service = g_strdup(options->service);
+	server->failure_domain = g_strdup(options->failure_domain);
+	server->slots = options->slots;
+	server->work_ms = options->work_ms;
+	server->responder =
+		responder_new(base, options->address, on_request, server);
+	if (!server->responder) {
+		platform_server_free(server);
+		return NULL;
+	}
+	register_self(server);
+	return server;
+}
+
+void platform_server_free(struct platform_server *server)
+{
+	responder_free(server->responder);
+	g_free(server->id);
+	g_free(server->address);
+	g_free(server->service);
+	g_free(server->failure_domain);
+	g_free(server);
+}
+
+void platform_server_drain(struct platform_server *server)
+{
+	server->draining = true;
+	register_self(server);
+}
+
+bool platform_server_set_fault(struct platform_server *server, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(fault_names); i++) {
+		if (!strcmp(name, fault_names[i])) {
+			server->fault = (enum fault)i;
+			return true;
+		}
+	}
+	return false;
+}
