--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -88,6 +88,7 @@
 		-H \"Request-Id: e\$i\" http://${FRONT[e1]}/look/\$i; done | grep -c '^s2 ' | grep -qx 0"
 expect "other regions serve meanwhile" status_is 200 e1 /look/1
 steer /evacuate '{"domain":"fyn-b","on":false}'
+sleep 4 # until its servers are no longer taken as cold
 
 config 00000002 "$ROUTES,$(route home /home/ idempotent reg '"fyn"')"
 sleep 1.5
