fix(fleet): slow servers are found by requests that should run fast

Solution: a request whose object the server knows and that takes over twice what wait and run should shows a slow server at once; it is avoided for 4 s and then tried by one request at a time.

--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -15,6 +15,9 @@
 #define FAILURES_MAX 2
 #define AVOID_MIN_MS 1000
 #define AVOID_MAX_MS 8000
+/* A slow server costs a request its whole time to be found: it is tried less
+ * often. */
+#define SLOW_AVOID_MS 4000
 
 struct servers {
 	const struct clock *clock;
@@ -214,16 +217,20 @@
 		server->path_ms += (took - server->path_ms) / PATH_WEIGHT;
 }
 
-void server_failed(struct server *server, const char *why, int64_t now_ms)
+bool server_avoided(const struct server *server, int64_t now_ms)
 {
-	int64_t avoid_ms;
+	/* after the time, one request at a time shows how it is */
+	return server->failures >= FAILURES_MAX &&
+	       (now_ms < server->avoid_until_ms || server->load.own);
+}
 
-	server->failures++;
-	if (server->failures < FAILURES_MAX)
-		return;
-	avoid_ms = AVOID_MIN_MS << MIN(server->failures - FAILURES_MAX, 3);
-	if (avoid_ms > AVOID_MAX_MS)
-		avoid_ms = AVOID_MAX_MS;
+static void avoid(struct server *server, int64_t least_ms, const char *why,
+		  int64_t now_ms)
+{
+	int64_t avoid_ms = AVOID_MIN_MS
+			   << MIN(server->failures - FAILURES_MAX, 3);
+
+	avoid_ms = CLAMP(avoid_ms, least_ms, AVOID_MAX_MS);
 	server->avoid_until_ms = now_ms + avoid_ms;
 	log_info("servers",
 		 "server is avoided server=%s failures=%u why=%s "
@@ -231,12 +238,25 @@
 		 server->id, server->failures, why, avoid_ms);
 }
 
+void server_failed(struct server *server, const char *why, int64_t now_ms)
+{
+	server->failures++;
+	if (server->failures >= FAILURES_MAX)
+		avoid(server, 0, why, now_ms);
+}
+
 void server_silent(struct server *server, int64_t now_ms)
 {
 	server->failures = MAX(server->failures, FAILURES_MAX);
 	server_failed(server, "silent", now_ms);
 }
 
+void server_slow(struct server *server, int64_t now_ms)
+{
+	server->failures = MAX(server->failures + 1, FAILURES_MAX);
+	avoid(server, SLOW_AVOID_MS, "slow", now_ms);
+}
+
 void server_succeeded(struct server *server)
 {
 	server->failures = 0;
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -69,6 +69,9 @@
 /** @return whether the server may get new requests at all. */
 bool server_usable(const struct server *server);
 
+/** @return whether others are preferred to it now. */
+bool server_avoided(const struct server *server, int64_t now_ms);
+
 /** Notes how long a connection to the server took to open. */
 void server_note_path(struct server *server, int64_t took_ms);
 
@@ -76,6 +79,8 @@
 void server_failed(struct server *server, const char *why, int64_t now_ms);
 /** Notes that the server's machine does not answer. */
 void server_silent(struct server *server, int64_t now_ms);
+/** Notes that the server took several times as long as it should. */
+void server_slow(struct server *server, int64_t now_ms);
 void server_succeeded(struct server *server);
 
 #endif
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/histogram.h"
 #include "net/http_stream.h"
 
 /* A larger answer cannot come from the store: a page holds about 1 MB of
@@ -16,6 +17,9 @@
 /* A connection takes a round trip, 70 ms between regions. */
 #define CONNECT_TIMEOUT_MS 500
 
+/* Calls with a longer timeout wait on purpose. */
+#define WATCH_TIMEOUT_MIN_MS 5000
+
 struct kv_line {
 	struct event_base *base;
 	struct sockaddr_in address;
@@ -26,6 +30,7 @@
 	uint16_t status;
 	bool keep_alive;
 	uint32_t timeout_ms; /* of the call in progress */
+	int64_t sent_ms;     /* when the call in progress began */
 	kv_done done;
 	void *context;
 };
@@ -46,6 +51,9 @@
 		return;
 	if (!status)
 		counter_add(COUNTER_STORE_ERRORS, 1);
+	else if (line->timeout_ms < WATCH_TIMEOUT_MIN_MS)
+		histogram_add(HISTOGRAM_STORE,
+			      clock_now_ms(&clock_system) - line->sent_ms);
 	line->done = NULL;
 	evtimer_del(line->timeout);
 	line->body = evbuffer_new();
@@ -174,6 +182,7 @@
 	line->status = KV_STATUS_NONE;
 	evbuffer_drain(line->body, evbuffer_get_length(line->body));
 	line->timeout_ms = timeout_ms;
+	line->sent_ms = clock_now_ms(&clock_system);
 	set_timeout(line, line->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
 	if (!line->stream)
 		line->stream =
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "base/counter.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "platform/header_codec.h"
 #include "proxy/crash.h"
@@ -22,6 +23,10 @@
 /* Added to the time limit, so that a server's own answer at its deadline can
  * arrive. */
 #define LATE_ANSWER_MS 120
+/* A server is slow when it takes so many times what was expected of it. */
+#define SLOW_FACTOR 2
+/* A server's answer so close to the deadline means that it ran out of time. */
+#define AT_DEADLINE_MS 50
 /* Deadline of a request whose caller gives none. */
 #define DEADLINE_DEFAULT_MS 30000
 /* Bytes that wait for a slow caller before its server is held up. */
@@ -252,6 +257,9 @@
 	uint32_t after_ms = return_after_ms(e);
 
 	log_end(e, status, why);
+	histogram_add(e->worst == VERDICT_NOT_RUN ? HISTOGRAM_REFUSED
+						  : HISTOGRAM_FAILED,
+		      proxy_now_ms(e->proxy) - e->started_ms);
 	counter_add(e->worst == VERDICT_NOT_RUN ? COUNTER_NOT_RUN
 						: COUNTER_MAY_HAVE_RUN,
 		    1);
@@ -267,12 +275,17 @@
 	caller_answered(caller);
 }
 
-/* A request that waited behind others does not speak against its server. */
-static void learn_timeout(const struct exchange *e, struct server *server)
+/* A request that waited behind others does not speak against its server, unless
+ * the server knows its object and took far longer than wait and run should. */
+static void learn_timeout(const struct exchange *e, struct server *server,
+			  int64_t took_ms)
 {
-	if (!server->load.waiting)
-		server_failed(server, outcome_text(ATTEMPT_TIMED_OUT),
-			      proxy_now_ms(e->proxy));
+	int64_t now_ms = proxy_now_ms(e->proxy);
+
+	if (e->known_there && took_ms > SLOW_FACTOR * (int64_t)e->expected_ms)
+		server_slow(server, now_ms);
+	else if (!server->load.waiting)
+		server_failed(server, outcome_text(ATTEMPT_TIMED_OUT), now_ms);
 }
 
 static void on_deadline(evutil_socket_t fd, short what, void *context)
@@ -286,7 +299,8 @@
 		return;
 	if (e->attempt && attempt_sent(e->attempt)) {
 		e->worst = MAX(e->worst, VERDICT_MAY_HAVE_RUN);
-		learn_timeout(e, attempt_server(e->attempt));
+		learn_timeout(e, attempt_server(e->attempt),
+			      attempt_age_ms(e->attempt));
 	}
 	counter_add(COUNTER_TIMED_OUT, 1);
 	status = e->refusal ? e->refusal : outcome_status(e->worst, true);
@@ -318,6 +332,7 @@
 	uint16_t status = attempt_status(a);
 
 	log_end(e, status, "answered");
+	histogram_add(HISTOGRAM_ANSWERED, proxy_now_ms(e->proxy) - e->started_ms);
 	counter_add(COUNTER_ANSWERED, 1);
 	caller_write_head(caller, status, attempt_headers(a),
 			  framing_of(e, status),
@@ -397,6 +412,10 @@
 			 server->id);
 	} else if (end == ATTEMPT_SILENT || end == ATTEMPT_NOT_CONNECTED) {
 		server_silent(server, proxy_now_ms(e->proxy));
+	} else if (end == ATTEMPT_FAILED &&
+		   e->deadline_ms - proxy_now_ms(e->proxy) < AT_DEADLINE_MS) {
+		/* it stopped at its deadline */
+		learn_timeout(e, server, attempt_age_ms(e->attempt));
 	} else if (outcome_blames_server(end)) {
 		if (end == ATTEMPT_BROKEN)
 			crash_suspect(e->proxy->crashes, server, e->fingerprint);
@@ -424,6 +443,7 @@
 	struct exchange *e = context;
 	struct server *server = attempt_server(a);
 
+	histogram_add(HISTOGRAM_ATTEMPT, attempt_age_ms(a));
 	learn(e, server, end);
 	if (end == ATTEMPT_ANSWERED)
 		learn_answer(e, server, attempt_age_ms(a));
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -36,7 +36,9 @@
 	uint32_t tried_count;
 	uint32_t sends; /* that a server may have begun to handle */
 	enum verdict worst;
-	bool away;		     /* should run in another region */
+	bool away;	  /* should run in another region */
+	bool known_there; /* the server in use had answered for the object */
+	uint32_t expected_ms; /* wait, path and run at the server in use */
 	uint32_t returning_after_ms; /* time since the caller first asked */
 	bool passing_on;	     /* the answer is sent while it arrives */
 	uint32_t wait_ms; /* estimated for the place that was refused */
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -194,7 +194,7 @@
 					  server->hash, now_ms);
 		row->cold = server->cold_until_ms > now_ms;
 		row->missing = server->missing;
-		row->avoid = server->avoid_until_ms > now_ms;
+		row->avoid = server_avoided(server, now_ms);
 		row->barred = !bears_one_more(e, server, now_ms);
 		count++;
 	}
@@ -305,5 +305,8 @@
 	}
 	if (why_again)
 		counter_add(COUNTER_RETRIES, 1);
+	e->known_there = candidates[choice.index].known;
+	e->expected_ms = choice.wait_ms + candidates[choice.index].path_ms +
+			 request.typical_ms;
 	send_to(e, candidate_servers[choice.index], now_ms);
 }
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "kv/presence.h"
 #include "net/listener.h"
@@ -55,6 +56,7 @@
 
 	(void)context;
 	counter_write(text);
+	histogram_write(text);
 	g_string_append(text, "# EOF\n");
 	evbuffer_add(body, text->str, text->len);
 	responder_reply(request, 200,
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -66,6 +66,11 @@
 expect "an order whose answer is lost is not repeated: 502" \
 	status_is 502 e1 /order/5 -d x
 expect "it ran once" test "$(runs_of "$REQUEST_ID")" = 1
+sleep 0.3 # until the log is written
+expect "its story leads to the server" bash -c \
+	"$BUILD/auburnreachctl trace $REQUEST_ID $OUT/*.log | grep -q 'why=broken verdict=may-have-run'"
+expect "latencies are counted" bash -c \
+	"curl -sf http://${METRICS[e1]}/metrics | grep -q 'request_seconds_count{outcome=\"failed\"} [1-9]'"
 for id in s1 s2 s3; do steer /fault "{\"id\":\"$id\",\"fault\":\"cut\"}"; done
 expect "a cut answer is no success: 502" status_is 502 e1 /order/6 -d x
 for id in s1 s2 s3; do steer /fault "{\"id\":\"$id\",\"fault\":\"unstamped\"}"; done
--- /dev/null
+++ b/test/unit/fleet/servers_test.c
@@ -0,0 +1,139 @@
+#include "fleet/servers.h"
+#include "unit/test.h"
+
+static struct clock_manual manual = { 1000 * NS_PER_MS, 1000 };
+static struct topology_domain domains[] = { { "fyn-a", "fyn" } };
+static struct topology topology = { domains, 1 };
+static struct clock now;
+
+static struct server_entry entry(const char *id, int64_t born_ms)
+{
+	struct server_entry one = {
+		.id = (char *)id,
+		.service = (char *)"reg",
+		.failure_domain = (char *)"fyn-a",
+		.version = (char *)"v1",
+		.slots = 9,
+		.born_ms = born_ms,
+	};
+
+	return one;
+}
+
+static struct server *only(struct servers *servers)
+{
+	const GPtrArray *list = servers_of(servers, "reg");
+
+	g_assert_cmpuint(list->len, ==, 1);
+	return g_ptr_array_index(list, 0);
+}
+
+static struct servers *one_server(void)
+{
+	struct servers *servers;
+	struct server_entry first = entry("s1", 7);
+
+	now = clock_from_manual(&manual);
+	servers = servers_new(&now, &topology);
+	servers_put(servers, &first);
+	return servers;
+}
+
+/* Load pattern: a server turns five times slower; every request there takes its
+ * whole time to fail. */
+static void slow_server_is_tried_by_one_request(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only(servers);
+	int64_t at_ms = clock_now_ms(&now);
+
+	g_assert_false(server_avoided(server, at_ms));
+	server_slow(server, at_ms);
+	g_assert_true(server_avoided(server, at_ms));
+	g_assert_true(server_avoided(server, at_ms + 3999));
+	g_assert_false(server_avoided(server, at_ms + 4000));
+	load_sent(&server->load);
+	g_assert_true(server_avoided(server, at_ms + 4001));
+	load_finished(&server->load);
+	server_succeeded(server);
+	g_assert_false(server_avoided(server, at_ms + 4002));
+	servers_free(servers);
+}
+
+static void single_failures_are_forgiven(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only(servers);
+	int64_t at_ms = clock_now_ms(&now);
+
+	server_failed(server, "test", at_ms);
+	g_assert_false(server_avoided(server, at_ms));
+	server_failed(server, "test", at_ms);
+	g_assert_true(server_avoided(server, at_ms));
+	g_assert_false(server_avoided(server, at_ms + 1000));
+	servers_free(servers);
+}
+
+static void silent_server_is_avoided_at_once(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only(servers);
+
+	server_silent(server, clock_now_ms(&now));
+	g_assert_true(server_avoided(server, clock_now_ms(&now)));
+	servers_free(servers);
+}
+
+/* A server that starts again under its id knows nothing of before. */
+static void another_birth_is_another_server(void)
+{
+	struct servers *servers = one_server();
+	struct server *before = server_hold(only(servers));
+	struct server_entry again = entry("s1", 8);
+
+	server_silent(before, clock_now_ms(&now));
+	servers_put(servers, &again);
+	g_assert_true(only(servers) != before);
+	g_assert_false(before->listed);
+	g_assert_false(server_usable(before));
+	g_assert_false(server_avoided(only(servers), clock_now_ms(&now)));
+	server_release(before);
+	servers_free(servers);
+}
+
+static void missing_servers_come_back(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry same = entry("s1", 7);
+
+	servers_miss(servers, "s1");
+	g_assert_true(only(servers)->missing);
+	servers_put(servers, &same);
+	g_assert_false(only(servers)->missing);
+	servers_remove(servers, "s1");
+	g_assert_cmpuint(servers_of(servers, "reg")->len, ==, 0);
+	servers_free(servers);
+}
+
+static void draining_servers_are_not_usable(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry leaving = entry("s1", 7);
+
+	leaving.draining = true;
+	servers_put(servers, &leaving);
+	g_assert_false(server_usable(only(servers)));
+	servers_free(servers);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("servers", slow_server_is_tried_by_one_request);
+	ADD_TEST("servers", single_failures_are_forgiven);
+	ADD_TEST("servers", silent_server_is_avoided_at_once);
+	ADD_TEST("servers", another_birth_is_another_server);
+	ADD_TEST("servers", missing_servers_come_back);
+	ADD_TEST("servers", draining_servers_are_not_usable);
+	return g_test_run();
+}
