--- /dev/null
+++ b/test/fuzz/platform_fuzz.c
@@ -0,0 +1,42 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/config.h"
+#include "platform/bounds_codec.h"
+#include "platform/config_codec.h"
+#include "platform/directory_codec.h"
+#include "platform/kv_codec.h"
+#include "platform/server_codec.h"
+
+/* What the platform's store and callers send: any bytes. */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size); /* NOLINT */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) /* NOLINT */
+{
+	char *text = malloc(size + 1);
+	struct directory_question question;
+	struct server_entry entry;
+	struct bounds bounds = { 0 };
+	struct kv_page page;
+	const char *problem;
+	uint32_t ttl_ms;
+	uint64_t lease;
+
+	memcpy(text, data, size);
+	text[size] = '\0';
+	config_release(config_decode(text, size, &problem));
+	problem = server_decode("servers/x", text, size, &entry);
+	server_entry_clear(&entry);
+	if (kv_decode_page(text, size, &page))
+		kv_page_clear(&page);
+	if (kv_decode_events(text, size, &page))
+		kv_page_clear(&page);
+	if (kv_decode_lease(text, size, &lease, &ttl_ms))
+		lease = 0;
+	bounds_decode(text, &bounds);
+	if (directory_decode(text, &question))
+		question.host[0] = '\0';
+	free(text);
+	return 0;
+}
--- /dev/null
+++ b/test/unit/kv/mirror_test.c
@@ -0,0 +1,193 @@
+#include "kv/mirror.h"
+
+#include <event2/event.h>
+#include <unistd.h>
+
+#include "net/tcp.h"
+#include "platform_kv.h"
+#include "unit/test.h"
+
+/* The mirror against the stand-in of the store, in one process. The clock is
+ * advanced by hand; timers and connections run on the loop. */
+
+struct seen {
+	GHashTable *keys; /* key to value */
+	GHashTable *missing;
+	uint32_t synced;
+};
+
+static struct clock_manual manual = { 1000 * NS_PER_MS, 1000 };
+static struct clock now;
+static struct event_base *base;
+static struct platform_kv *kv;
+static struct responder *store;
+static struct mirror *mirror;
+static struct seen seen;
+
+static void on_put(void *context, const struct kv_item *item)
+{
+	(void)context;
+	g_hash_table_replace(seen.keys, g_strdup(item->key),
+			     g_strdup(item->value));
+	g_hash_table_remove(seen.missing, item->key);
+}
+
+static void on_removed(void *context, const char *key)
+{
+	(void)context;
+	g_hash_table_remove(seen.keys, key);
+	g_hash_table_remove(seen.missing, key);
+}
+
+static void on_missing(void *context, const char *key)
+{
+	(void)context;
+	g_hash_table_add(seen.missing, g_strdup(key));
+}
+
+static void on_synced(void *context)
+{
+	(void)context;
+	seen.synced++;
+}
+
+static const struct mirror_events events = {
+	.put = on_put,
+	.removed = on_removed,
+	.missing = on_missing,
+	.synced = on_synced,
+};
+
+static void begin(void)
+{
+	struct sockaddr_in address;
+	char text[32];
+	int tries;
+
+	base = event_base_new();
+	kv = platform_kv_new(base);
+	for (tries = 0; tries < 20 && !store; tries++) {
+		g_snprintf(text, sizeof(text), "127.0.0.1:%d",
+			   g_random_int_range(20000, 32000));
+		store = responder_new(base, text, platform_kv_handle, kv);
+	}
+	g_assert_nonnull(store);
+	g_assert_true(tcp_parse(text, &address));
+	seen.keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	seen.missing =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	seen.synced = 0;
+	now = clock_from_manual(&manual);
+	mirror = mirror_new(base, &now, &address, "a/", 10, &events, NULL);
+}
+
+static void finish(void)
+{
+	mirror_free(mirror);
+	responder_free(store);
+	store = NULL;
+	event_base_free(base);
+	g_hash_table_destroy(seen.keys);
+	g_hash_table_destroy(seen.missing);
+}
+
+/* Runs the loop; the clock goes with it. */
+static void run_ms(uint32_t ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < ms; i += 5) {
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		usleep(5000);
+		clock_manual_advance_ms(&manual, 5);
+	}
+}
+
+static const char *value_of(const char *key)
+{
+	return g_hash_table_lookup(seen.keys, key);
+}
+
+static void range_and_watch(void)
+{
+	char key[16];
+	int i;
+
+	begin();
+	/* more than one page */
+	for (i = 0; i < 120; i++) {
+		g_snprintf(key, sizeof(key), "a/%03d", i);
+		platform_kv_put(kv, key, "old");
+	}
+	platform_kv_put(kv, "b/other", "x");
+	run_ms(100);
+	g_assert_cmpuint(g_hash_table_size(seen.keys), ==, 120);
+	g_assert_true(mirror_synced(mirror));
+	platform_kv_put(kv, "a/007", "new");
+	platform_kv_remove(kv, "a/008");
+	run_ms(100);
+	g_assert_cmpstr(value_of("a/007"), ==, "new");
+	g_assert_null(value_of("a/008"));
+	g_assert_cmpuint(g_hash_table_size(seen.missing), ==, 0);
+	finish();
+}
+
+static void lost_history_is_read_anew(void)
+{
+	begin();
+	platform_kv_put(kv, "a/1", "old");
+	run_ms(50);
+	platform_kv_put(kv, "a/1", "new");
+	platform_kv_put(kv, "a/2", "new");
+	platform_kv_compact(kv);
+	run_ms(400);
+	g_assert_cmpstr(value_of("a/1"), ==, "new");
+	g_assert_cmpstr(value_of("a/2"), ==, "new");
+	finish();
+}
+
+/* Keys that vanished around an outage may come back within two seconds. */
+static void missing_keys_wait_for_their_writers(void)
+{
+	begin();
+	platform_kv_put(kv, "a/back", "1");
+	platform_kv_put(kv, "a/gone", "1");
+	run_ms(100);
+	platform_kv_set_fault(kv, "reset");
+	run_ms(1200);
+	platform_kv_remove(kv, "a/back");
+	platform_kv_remove(kv, "a/gone");
+	platform_kv_set_fault(kv, "sound");
+	run_ms(1000);
+	g_assert_true(g_hash_table_contains(seen.missing, "a/back"));
+	g_assert_nonnull(value_of("a/gone"));
+	platform_kv_put(kv, "a/back", "2");
+	run_ms(200);
+	g_assert_false(g_hash_table_contains(seen.missing, "a/back"));
+	run_ms(2200);
+	g_assert_cmpstr(value_of("a/back"), ==, "2");
+	g_assert_null(value_of("a/gone"));
+	finish();
+}
+
+static void removals_on_a_sound_store_are_believed(void)
+{
+	begin();
+	platform_kv_put(kv, "a/1", "1");
+	run_ms(100);
+	platform_kv_remove(kv, "a/1");
+	run_ms(100);
+	g_assert_null(value_of("a/1"));
+	finish();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("mirror", range_and_watch);
+	ADD_TEST("mirror", lost_history_is_read_anew);
+	ADD_TEST("mirror", missing_keys_wait_for_their_writers);
+	ADD_TEST("mirror", removals_on_a_sound_store_are_believed);
+	return g_test_run();
+}
