--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "net/http_stream.h"
+#include "net/timer.h"
 
 /* A larger answer cannot come from the store: a page holds about 1 MB of
  * values, a third more in base64. */
@@ -62,19 +63,12 @@
 	evbuffer_free(body);
 }
 
-static void set_timeout(struct kv_line *line, uint32_t ms)
-{
-	const struct timeval limit = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
-
-	evtimer_add(line->timeout, &limit);
-}
-
 static void on_connected(void *context)
 {
 	struct kv_line *line = context;
 
 	if (line->done)
-		set_timeout(line, line->timeout_ms);
+		timer_start(line->timeout, line->timeout_ms);
 }
 
 static void on_head(void *context, const struct http_head *head)
@@ -183,7 +177,8 @@
 	evbuffer_drain(line->body, evbuffer_get_length(line->body));
 	line->timeout_ms = timeout_ms;
 	line->sent_ms = clock_now_ms(&clock_system);
-	set_timeout(line, line->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
+	timer_start(line->timeout,
+		    line->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
 	if (!line->stream)
 		line->stream =
 			http_stream_connect(line->base, &line->address,
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "kv/kv_client.h"
+#include "net/timer.h"
 
 /* One range: the store answers in milliseconds, and in 400 ms when it is a
  * hundred times slower than usual. */
@@ -53,13 +54,6 @@
 
 static void send_next(struct mirror *m);
 
-static void set_timer(struct event *timer, int64_t ms)
-{
-	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
-
-	evtimer_add(timer, &delay);
-}
-
 static int64_t now_ms(const struct mirror *m)
 {
 	return clock_now_ms(m->clock);
@@ -94,8 +88,8 @@
 	m->retry_ms = m->retry_ms ? m->retry_ms * 2 : RETRY_MIN_MS;
 	if (m->retry_ms > RETRY_MAX_MS)
 		m->retry_ms = RETRY_MAX_MS;
-	set_timer(m->retry, g_random_int_range((gint32)m->retry_ms / 2,
-					       (gint32)m->retry_ms + 1));
+	timer_start(m->retry, g_random_int_range((gint32)m->retry_ms / 2,
+						 (gint32)m->retry_ms + 1));
 }
 
 static bool lately_away(const struct mirror *m)
@@ -147,7 +141,7 @@
 			m->events->missing(m->context, key);
 	}
 	if (!evtimer_pending(m->expiry, NULL))
-		set_timer(m->expiry, REAPPEAR_MS);
+		timer_start(m->expiry, REAPPEAR_MS);
 }
 
 static void on_expiry(evutil_socket_t fd, short what, void *context)
@@ -179,7 +173,7 @@
 		forget(m, g_ptr_array_index(expired, i));
 	g_ptr_array_free(expired, true);
 	if (next_ms)
-		set_timer(m->expiry, next_ms);
+		timer_start(m->expiry, next_ms);
 }
 
 static void remove_unseen(struct mirror *m)
@@ -264,7 +258,7 @@
 	}
 	kv_page_clear(&page);
 	m->events->synced(m->context);
-	set_timer(m->retry, m->gather_ms);
+	timer_start(m->retry, m->gather_ms);
 }
 
 static void send_next(struct mirror *m)
--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "kv/kv_client.h"
+#include "net/timer.h"
 
 /* A VM that died leaves the directory after this time; three renewals may be
  * lost before a VM that lives does. */
@@ -29,13 +30,6 @@
 	void *context;
 };
 
-static void schedule(struct presence *p, uint32_t ms)
-{
-	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
-
-	evtimer_add(p->timer, &delay);
-}
-
 static void note(struct presence *p, bool done, const char *call, uint16_t status)
 {
 	if (done == !p->lost)
@@ -61,7 +55,7 @@
 	note(p, p->written, "put", status);
 	if (status == KV_STATUS_NOT_FOUND)
 		p->lease = 0;
-	schedule(p, p->written ? RENEW_MS : RENEW_MS / 2);
+	timer_start(p->timer, p->written ? RENEW_MS : RENEW_MS / 2);
 }
 
 static void write_key(struct presence *p)
@@ -83,7 +77,7 @@
 	note(p, granted, "lease", status);
 	if (!granted) {
 		p->lease = 0;
-		schedule(p, RENEW_MS / 2);
+		timer_start(p->timer, RENEW_MS / 2);
 		return;
 	}
 	log_info("presence", "lease granted lease=%" PRIu64 " ttl_ms=%" PRIu32,
@@ -102,10 +96,10 @@
 		log_warn("presence", "lease has lapsed lease=%" PRIu64, p->lease);
 		p->lease = 0;
 		p->written = false;
-		schedule(p, 0);
+		timer_start(p->timer, 0);
 		return;
 	}
-	schedule(p, status == KV_STATUS_OK ? RENEW_MS : RENEW_MS / 2);
+	timer_start(p->timer, status == KV_STATUS_OK ? RENEW_MS : RENEW_MS / 2);
 }
 
 static void on_withdrawn(void *context, uint16_t status, const char *body,
@@ -118,7 +112,7 @@
 	log_info("presence", "registration withdrawn status=%u", status);
 	/* the answer may be lost: ending a lease twice does no harm */
 	if (status != KV_STATUS_OK && status != KV_STATUS_NOT_FOUND)
-		schedule(p, RENEW_MS / 2);
+		timer_start(p->timer, RENEW_MS / 2);
 }
 
 static void end_lease(struct presence *p)
@@ -166,7 +160,7 @@
 	p->value = strdup(value);
 	p->on_lost = lost;
 	p->context = context;
-	schedule(p, 0);
+	timer_start(p->timer, 0);
 	return p;
 }
 
--- a/src/net/linger.c
+++ b/src/net/linger.c
@@ -1,11 +1,12 @@
 #include "net/linger.h"
+#include "net/timer.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <sys/socket.h>
 
 /* Time in which a peer may read the last answer and close. */
-#define LINGER_S 2
+#define LINGER_MS 2000
 
 static void on_read(struct bufferevent *bev, void *context)
 {
@@ -30,7 +31,7 @@
 
 void linger_close(struct bufferevent *bev)
 {
-	const struct timeval limit = { LINGER_S, 0 };
+	const struct timeval limit = timer_span(LINGER_MS);
 
 	bufferevent_setcb(bev, on_read, on_sent, on_event, NULL);
 	bufferevent_setwatermark(bev, EV_READ, 0, 0);
--- a/src/net/responder.c
+++ b/src/net/responder.c
@@ -6,13 +6,14 @@
 
 #include "base/log.h"
 #include "net/listener.h"
+#include "net/timer.h"
 
 /* Start line and headers of a question. */
 #define HEAD_BYTES_MAX 16384
 /* Connections kept at the same time; each costs a descriptor. */
 #define CONNECTIONS_MAX 400
 /* A connection without a request is closed after this time. */
-#define IDLE_S 10
+#define IDLE_MS 10000
 
 struct responder {
 	struct event_base *base;
@@ -48,9 +49,7 @@
 
 static void watch(struct connection *c)
 {
-	const struct timeval limit = { IDLE_S, 0 };
-
-	evtimer_add(c->timer, &limit);
+	timer_start(c->timer, IDLE_MS);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "net/timer.h"
 #include "platform/header_codec.h"
 #include "proxy/headers.h"
 #include "proxy/pool.h"
@@ -256,7 +257,6 @@
 			      const struct attempt_request *request,
 			      const struct attempt_events *events, void *context)
 {
-	const struct timeval limit = { 0, CONNECT_TIMEOUT_MS * 1000 };
 	struct attempt *a = calloc(1, sizeof(*a));
 
 	if (!a)
@@ -282,7 +282,7 @@
 	if (a->reused)
 		send_request(a);
 	else
-		evtimer_add(a->connect_timer, &limit);
+		timer_start(a->connect_timer, CONNECT_TIMEOUT_MS);
 	return a;
 }
 
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "net/http_stream.h"
 #include "net/responder.h"
+#include "net/timer.h"
 #include "proxy/exchange.h"
 
 /* Limits until a configuration is known. */
@@ -49,9 +50,8 @@
 {
 	const struct caller_limits *limits = limits_of(caller->proxy);
 	uint32_t ms = MIN(limits->head_timeout_ms, limits->idle_timeout_ms);
-	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
 
-	evtimer_add(caller->timer, &delay);
+	timer_start(caller->timer, ms);
 }
 
 static void begin_idle(struct caller *caller)
--- a/src/proxy/crash.c
+++ b/src/proxy/crash.c
@@ -9,6 +9,7 @@
 #include "decide/quarantine.h"
 #include "kv/kv_client.h"
 #include "net/http_stream.h"
+#include "net/timer.h"
 
 /* A server that crashed does not listen yet after this time; one that closed a
  * single connection does. */
@@ -167,19 +168,12 @@
 	send_report(watch);
 }
 
-static void set_timer(struct probe *probe, uint32_t ms)
-{
-	const struct timeval delay = { 0, ms * 1000 };
-
-	evtimer_add(probe->timer, &delay);
-}
-
 static void on_crashed(struct probe *probe)
 {
 	http_stream_free(probe->stream);
 	probe->stream = NULL;
 	probe->fell_ms = proxy_now_ms(probe->watch->proxy);
-	set_timer(probe, JUDGE_AFTER_MS);
+	timer_start(probe->timer, JUDGE_AFTER_MS);
 }
 
 static void on_connected(void *context)
@@ -211,7 +205,7 @@
 	if (probe->fell_ms) {
 		judge(probe);
 		probe->judged = true;
-		set_timer(probe, JUDGE_AFTER_MS);
+		timer_start(probe->timer, JUDGE_AFTER_MS);
 		return;
 	}
 	probe->stream =
@@ -246,7 +240,7 @@
 	probe->server = server_hold(server);
 	probe->fingerprint = fingerprint;
 	probe->timer = evtimer_new(watch->proxy->base, on_timer, probe);
-	set_timer(probe, PROBE_AFTER_MS);
+	timer_start(probe->timer, PROBE_AFTER_MS);
 	g_queue_push_tail(&watch->probes, probe);
 }
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -9,6 +9,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "net/timer.h"
 #include "platform/header_codec.h"
 #include "proxy/crash.h"
 #include "proxy/exchange_internal.h"
@@ -109,15 +110,11 @@
 static void set_deadline(struct exchange *e, uint32_t caller_ms)
 {
 	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
-	struct timeval delay;
 
 	if (e->route && e->route->timeout_ms < limit_ms)
 		limit_ms = e->route->timeout_ms;
 	e->deadline_ms = e->started_ms + limit_ms;
-	limit_ms += LATE_ANSWER_MS;
-	delay.tv_sec = limit_ms / MS_PER_S;
-	delay.tv_usec = (limit_ms % MS_PER_S) * 1000;
-	evtimer_add(e->timer, &delay);
+	timer_start(e->timer, (int64_t)limit_ms + LATE_ANSWER_MS);
 }
 
 static uint64_t hash_object(const struct exchange *e,
--- a/src/proxy/pause.c
+++ b/src/proxy/pause.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "net/timer.h"
 #include "proxy/belief.h"
 
 #define LOOK_MS 500
@@ -41,7 +42,7 @@
 
 struct pause_watch *pause_watch_new(struct proxy *proxy)
 {
-	const struct timeval period = { 0, LOOK_MS * 1000 };
+	const struct timeval period = timer_span(LOOK_MS);
 	struct pause_watch *watch = calloc(1, sizeof(*watch));
 
 	if (!watch)
--- a/src/proxy/pool.c
+++ b/src/proxy/pool.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "net/timer.h"
 
 /* An idle connection is closed here before the server may close it: a request
  * that crosses the server's close may have run. */
@@ -159,7 +160,6 @@
 {
 	uint32_t ms = (idle_timeout_ms ? idle_timeout_ms : IDLE_DEFAULT_MS) *
 		      IDLE_SHARE_PERCENT / 100;
-	const struct timeval limit = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
 
 	c->events = NULL;
 	c->context = NULL;
@@ -170,5 +170,5 @@
 	c->resting = true;
 	c->next = c->server->idle;
 	c->server->idle = c;
-	evtimer_add(c->idle_timer, &limit);
+	timer_start(c->idle_timer, ms);
 }
--- a/src/proxy/reload.c
+++ b/src/proxy/reload.c
@@ -6,10 +6,11 @@
 #include <sys/stat.h>
 
 #include "base/log.h"
+#include "net/timer.h"
 #include "platform/bounds_codec.h"
 
 /* How often the file is looked at: changes of it are not urgent. */
-#define LOOK_S 5
+#define LOOK_MS 5000
 
 struct reload {
 	struct proxy *proxy;
@@ -122,7 +123,7 @@
 struct reload *reload_new(struct proxy *proxy, const char *file_name,
 			  struct proxy_settings *settings)
 {
-	const struct timeval period = { LOOK_S, 0 };
+	const struct timeval period = timer_span(LOOK_MS);
 	struct reload *reload = calloc(1, sizeof(*reload));
 
 	if (!reload)
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "net/timer.h"
 #include "proxy/caller.h"
 
 /* How often the progress of a stop is looked at. */
@@ -28,7 +29,6 @@
 
 static void on_look(evutil_socket_t fd, short what, void *context)
 {
-	const struct timeval delay = { 0, LOOK_MS * 1000 };
 	struct stop *stop = context;
 	struct proxy *proxy = stop->proxy;
 	int64_t age_ms = proxy_now_ms(proxy) - stop->began_ms;
@@ -44,7 +44,7 @@
 		event_base_loopbreak(proxy->base);
 		return;
 	}
-	evtimer_add(stop->look, &delay);
+	timer_start(stop->look, LOOK_MS);
 }
 
 static void on_signal(evutil_socket_t fd, short what, void *context)
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -10,6 +10,7 @@
 
 #include "base/attributes.h"
 #include "base/clock.h"
+#include "net/timer.h"
 
 #define EVENTS_MAX 10000
 #define PAGE_ITEMS_MAX 50
@@ -240,13 +241,6 @@
 	end_lease(lease->kv, lease->id);
 }
 
-static void arm(struct event *timer, uint32_t ms)
-{
-	const struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * 1000 };
-
-	evtimer_add(timer, &delay);
-}
-
 static void handle_lease(struct platform_kv *kv,
 			 struct responder_request *request, json_t *body)
 {
@@ -257,7 +251,7 @@
 	lease->ttl_ms =
 		(uint32_t)json_integer_value(json_object_get(body, "TtlMs"));
 	lease->timer = evtimer_new(kv->base, on_lease_end, lease);
-	arm(lease->timer, lease->ttl_ms);
+	timer_start(lease->timer, lease->ttl_ms);
 	g_hash_table_insert(kv->leases, &lease->id, lease);
 	reply_json(request, 200,
 		   json_pack("{s:I,s:I}", "Lease", (json_int_t)lease->id,
@@ -406,7 +400,7 @@
 	}
 	request->gone = on_watch_gone;
 	request->context = watch;
-	arm(watch->timer, (uint32_t)strtoul(wait, NULL, 10));
+	timer_start(watch->timer, (uint32_t)strtoul(wait, NULL, 10));
 }
 
 static void handle_call(struct platform_kv *kv, struct responder_request *request)
@@ -434,7 +428,7 @@
 	else if (g_str_has_prefix(target, "/kv-lease"))
 		handle_lease(kv, request, body);
 	if (lease && g_str_has_prefix(target, "/kv-keep/")) {
-		arm(lease->timer, lease->ttl_ms);
+		timer_start(lease->timer, lease->ttl_ms);
 		reply_json(request, 200,
 			   json_pack("{s:I}", "TtlMs", (json_int_t)lease->ttl_ms));
 	} else if (lease) {
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -6,6 +6,7 @@
 
 #include "base/attributes.h"
 #include "base/clock.h"
+#include "net/timer.h"
 
 enum fault {
 	FAULT_NONE,
@@ -122,8 +123,6 @@
 static void run(struct platform_server *server,
 		struct responder_request *request, const char *request_id)
 {
-	const struct timeval delay = { server->work_ms / MS_PER_S,
-				       (server->work_ms % MS_PER_S) * 1000 };
 	struct work *work = g_new0(struct work, 1);
 
 	note_run(server, request_id);
@@ -137,7 +136,7 @@
 	g_queue_push_tail(&server->work, work);
 	request->gone = on_gone;
 	request->context = work;
-	evtimer_add(work->timer, &delay);
+	timer_start(work->timer, server->work_ms);
 }
 
 static void on_request(void *context, struct responder_request *request)
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -9,23 +9,11 @@
 BACKENDS=
 SEEDS=
 . demo/fleet.sh
+. test/functional/report_lib.sh
 trap fleet_stop EXIT
 CTL=$BUILD/auburnreachctl
 BENCH=$BUILD/auburnreach-bench
 
-die() {
-	echo "FAILED: $*"
-	exit 1
-}
-
-# expect WHAT COMMAND...: the command must succeed.
-expect() {
-	local what=$1
-	shift
-	"$@" || die "$what"
-	echo "ok: $what"
-}
-
 # refuse WHAT COMMAND...: the command must fail.
 refuse() {
 	local what=$1
--- a/test/functional/platform_lib.sh
+++ b/test/functional/platform_lib.sh
@@ -7,22 +7,10 @@
 rm -rf "$OUT"
 mkdir -p "$OUT"
 . demo/fleet.sh
+. test/functional/report_lib.sh
 trap fleet_stop EXIT
 declare -A FRONT READY DIRECTORY METRICS VM_PID
 
-die() {
-	echo "FAILED: $*"
-	exit 1
-}
-
-# expect WHAT COMMAND...: the command must succeed.
-expect() {
-	local what=$1
-	shift
-	"$@" || die "$what"
-	echo "ok: $what"
-}
-
 # steer PATH JSON: asks something of the platform.
 steer() {
 	curl -sf -o /dev/null -d "$2" "http://$CONTROL$1"
