refactor(proxy): urgency once a configuration, refusals before the body by a flag

Solution: config_finish() marks the most urgent routes; a flag; 0.7 of the slots where load is even, 0.45 where objects make it uneven.

--- a/bench/fleet_ways.c
+++ b/bench/fleet_ways.c
@@ -61,6 +61,7 @@
 		.region_vms = pattern->regions[vm->region].vms,
 		.domain_share = 1.0 / pattern->region_count,
 		.fast_ms = vm->time.fast_ms,
+		.uneven = true,
 	};
 
 	view_region(fleet, vm, &view);
--- a/src/decide/spill.c
+++ b/src/decide/spill.c
@@ -5,9 +5,11 @@
 
 #include "base/clock.h"
 
-/* Part of a region's slots that its requests fill. Objects fall unevenly on
- * servers: the fullest has about twice the mean, and must not queue. */
-#define UTILISATION_MAX 0.45
+/* Part of a region's slots that its requests fill: above it, they wait for each
+ * other. Objects fall unevenly on servers: the fullest has about twice the
+ * mean, and must not queue. */
+#define UTILISATION_EVEN 0.7
+#define UTILISATION_UNEVEN 0.45
 /* Other regions take no more when this part of their slots is filled. */
 #define FAR_UTILISATION_MAX 0.85
 /* The rate of requests is averaged over this time. */
@@ -35,17 +37,17 @@
 static double share_for(const struct spill_view *view, double demand,
 			double away_now)
 {
-	double wanted;
+	double keep = view->near_slots *
+		      (view->uneven ? UTILISATION_UNEVEN : UTILISATION_EVEN);
 	double room;
 
 	if (!view->near_slots)
 		return 1;
 	if (!view->far_slots || demand <= 0)
 		return 0;
-	wanted = 1 - UTILISATION_MAX * view->near_slots / demand;
 	room = fmax(0, FAR_UTILISATION_MAX * view->far_slots - view->far_load) +
 	       away_now * demand;
-	return clamp(wanted, 0, clamp(room / demand, 0, 1));
+	return clamp(1 - keep / demand, 0, clamp(room / demand, 0, 1));
 }
 
 /* Before any rate is known: callers are taken to be spread evenly over failure
--- a/src/decide/spill.h
+++ b/src/decide/spill.h
@@ -34,7 +34,8 @@
 	uint32_t far_load;
 	uint32_t region_vms; /**< live entry VMs of the region, at least 1 */
 	double domain_share; /**< of all failure domains, those of the region */
-	double fast_ms;	     /**< time a request runs whose object is known */
+	bool uneven; /**< each object has one server, some get more of them */
+	double fast_ms; /**< time a request runs whose object is known */
 };
 
 /** Counts one request and lets the share follow. */
--- a/src/fleet/config.c
+++ b/src/fleet/config.c
@@ -56,6 +56,29 @@
 	return weight ? NULL : "the weights of a route add up to nothing";
 }
 
+static bool shares_service(const struct route *a, const struct route *b)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < a->part_count; i++)
+		for (k = 0; k < b->part_count; k++)
+			if (a->parts[i].service == b->parts[k].service)
+				return true;
+	return false;
+}
+
+static bool is_most_urgent(const struct config *config, const struct route *route)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->route_count; i++)
+		if (config->routes[i].priority < route->priority &&
+		    shares_service(&config->routes[i], route))
+			return false;
+	return true;
+}
+
 const char *config_finish(struct config *config)
 {
 	const char *problem;
@@ -70,6 +93,9 @@
 		if (problem)
 			return problem;
 	}
+	for (i = 0; i < config->route_count; i++)
+		config->routes[i].most_urgent =
+			is_most_urgent(config, &config->routes[i]);
 	qsort(config->routes, config->route_count, sizeof(struct route),
 	      compare_prefixes);
 	return NULL;
--- a/src/fleet/config_defs.h
+++ b/src/fleet/config_defs.h
@@ -34,7 +34,8 @@
 	bool sticky; /**< requests of one object run faster at one server */
 	uint32_t timeout_ms;
 	uint32_t target_latency_ms;
-	uint32_t priority;     /**< 0: the highest */
+	uint32_t priority; /**< 0: the highest */
+	bool most_urgent;  /**< no route of its services has a higher rank */
 	uint32_t attempts_max; /**< backend servers a request may be sent to */
 	struct route_part *parts;
 	uint32_t part_count;
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -156,19 +156,18 @@
 	e->request.head = e->head;
 	e->request.body = e->body;
 	e->request.deadline_ms = e->deadline_ms;
-	if (head->content_length <= BODY_BYTES_READ_FIRST && e->refusal != 413)
-		return e;
-	if (!e->refusal && proxy->body_bytes + (uint64_t)head->content_length >
-				   BODIES_BYTES_MAX)
+	if (!e->refusal &&
+	    proxy->body_bytes + (uint64_t)MAX(head->content_length, 0) >
+		    BODIES_BYTES_MAX)
 		refuse(e, 503, "bodies-fill-memory");
+	e->refuses_body =
+		e->refusal && head->content_length > BODY_BYTES_READ_FIRST;
 	return e;
 }
 
 bool exchange_refuses_body(const struct exchange *e)
 {
-	return e->refusal == 413 ||
-	       (e->refusal && e->refusal_why &&
-		!strcmp(e->refusal_why, "bodies-fill-memory"));
+	return e->refuses_body;
 }
 
 void exchange_body(struct exchange *e, const uint8_t *data, size_t bytes)
@@ -272,14 +271,20 @@
 	caller_answered(caller);
 }
 
-/* A request that waited behind others does not speak against its server, unless
- * the server knows its object and took far longer than wait and run should. */
+/* The server knows the object and has taken far longer than wait and run
+ * should: it is slow, also when others wait there. */
+static bool shows_slow_server(const struct exchange *e, int64_t took_ms)
+{
+	return e->known_there && took_ms > SLOW_FACTOR * (int64_t)e->expected_ms;
+}
+
+/* A request that waited behind others does not speak against its server. */
 static void learn_timeout(const struct exchange *e, struct server *server,
 			  int64_t took_ms)
 {
 	int64_t now_ms = proxy_now_ms(e->proxy);
 
-	if (e->known_there && took_ms > SLOW_FACTOR * (int64_t)e->expected_ms)
+	if (shows_slow_server(e, took_ms))
 		server_slow(server, now_ms);
 	else if (!server->load.waiting)
 		server_failed(server, outcome_text(ATTEMPT_TIMED_OUT), now_ms);
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -31,6 +31,7 @@
 	int64_t deadline_ms; /* earlier of caller's and route's */
 	uint16_t refusal;    /* status known before placing; 0: none */
 	const char *refusal_why;
+	bool refuses_body;	 /* the refusal does not wait for the body */
 	struct attempt *attempt; /* in progress */
 	struct server *tried[EXCHANGE_SERVERS_MAX];
 	uint32_t tried_count;
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -157,6 +157,7 @@
 		.region_vms = MAX(vms_in(proxy->vms, proxy->region), 1),
 		.domain_share = topology_share(&proxy->topology, proxy->region),
 		.fast_ms = state->time.fast_ms,
+		.uneven = e->route->sticky,
 	};
 	guint i;
 
@@ -201,23 +202,6 @@
 	return count;
 }
 
-static bool is_most_urgent(const struct exchange *e)
-{
-	uint32_t i;
-	uint32_t part;
-
-	for (i = 0; i < e->config->route_count; i++) {
-		const struct route *other = &e->config->routes[i];
-
-		if (other->priority >= e->route->priority)
-			continue;
-		for (part = 0; part < other->part_count; part++)
-			if (other->parts[part].service == e->service)
-				return false;
-	}
-	return true;
-}
-
 static void send_to(struct exchange *e, struct server *server, int64_t now_ms)
 {
 	if (server->cold_until_ms > now_ms)
@@ -241,8 +225,8 @@
 		return 0;
 	target_ms -= e->returning_after_ms;
 	room_ms = target_ms > service_ms ? target_ms - service_ms : 0;
-	return (uint32_t)(room_ms * (is_most_urgent(e) ? WAIT_SHARE_URGENT
-						       : WAIT_SHARE_OTHER));
+	return (uint32_t)(room_ms * (e->route->most_urgent ? WAIT_SHARE_URGENT
+							   : WAIT_SHARE_OTHER));
 }
 
 static void log_choice(const struct exchange *e,
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -87,6 +87,17 @@
 	return kv;
 }
 
+void platform_kv_free(struct platform_kv *kv)
+{
+	json_t *event;
+
+	while ((event = g_queue_pop_head(&kv->events)))
+		json_decref(event);
+	g_hash_table_destroy(kv->leases);
+	g_tree_destroy(kv->items);
+	g_free(kv);
+}
+
 static void reply_json(struct responder_request *request, uint16_t status,
 		       json_t *value)
 {
--- a/standin/platform_kv.h
+++ b/standin/platform_kv.h
@@ -23,6 +23,9 @@
 
 struct platform_kv *platform_kv_new(struct event_base *base);
 
+/** Frees the store; its responder must be gone. */
+void platform_kv_free(struct platform_kv *kv);
+
 /** A responder_handler; `context` is the store. */
 void platform_kv_handle(void *context, struct responder_request *request);
 
--- a/test/unit/decide/spill_test.c
+++ b/test/unit/decide/spill_test.c
@@ -17,6 +17,7 @@
 		.region_vms = 9,
 		.domain_share = 1.0 / 3,
 		.fast_ms = 300,
+		.uneven = true,
 	};
 
 	return view;
--- a/test/unit/kv/mirror_test.c
+++ b/test/unit/kv/mirror_test.c
@@ -87,6 +87,7 @@
 	mirror_free(mirror);
 	responder_free(store);
 	store = NULL;
+	platform_kv_free(kv);
 	event_base_free(base);
 	g_hash_table_destroy(seen.keys);
 	g_hash_table_destroy(seen.missing);
