--- a/test/fuzz/head_fuzz.c
+++ b/test/fuzz/head_fuzz.c
@@ -58,9 +58,10 @@
 		return 0;
 	stream = http_stream_accept(base, fds[0], 4096, &events, NULL);
 	if (stream && write(fds[1], data, size) < 0)
-		size = 0;
+		goto out; /* more than the socket holds */
 	for (i = 0; i < 8; i++)
 		event_base_loop(base, EVLOOP_NONBLOCK);
+out:
 	close(fds[1]);
 	for (i = 0; i < 4; i++)
 		event_base_loop(base, EVLOOP_NONBLOCK);
