test(soak): random faults on real processes, judged by callers and servers

The project's own functional tests play one fault after the other.

Solution: auburnreach-soak starts entry VMs and the stand-in of the platform, proxies that delay, silence, cut one way or reset, draws a plan from a seed, and judges what callers and backend servers saw. The stand-in tells which runs began at a server that had left.

--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,18 @@
 	@$(MAKE) --no-print-directory all
 	./demo/run $(BUILD)
 
+SEEDS ?= 1 50
+soak: all ## play random faults on real processes; SEEDS="FIRST LAST"
+	./soak/run $(BUILD) $(SEEDS) 8
+
 bench: all ## measure a forward, look-ups and the choice of server
 	./bench/run $(BUILD)
 
-decide-bench: all ## compare the ways to place requests, in models
+decide-SEEDS ?= 1 50
+soak: all ## play random faults on real processes; SEEDS="FIRST LAST"
+	./soak/run $(BUILD) $(SEEDS) 8
+
+bench: all ## compare the ways to place requests, in models
 	$(BUILD)/auburnreach-bench decide
 	$(BUILD)/auburnreach-bench fleet bench/patterns/*.json
 
@@ -58,4 +66,4 @@
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*\#\#' Makefile | sed 's/:.*## /\t/' | expand -t 16
 
-.PHONY: all deps test demo bench decide-bench slopes lint format check-format asan tsan fuzz clean help
+.PHONY: all deps test demo soak bench decide-bench slopes lint format check-format asan tsan fuzz clean help
--- /dev/null
+++ b/bench/free_port.c
@@ -0,0 +1,57 @@
+#include "free_port.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Below the range from which the system gives ports to connections that go
+ * out: a port that was free stays free until its program starts. */
+#define PORT_FIRST 10000
+#define PORT_LAST 32000
+
+/* @return a socket bound to the port, or -1 when the port is taken. */
+static int bind_port(uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr = { htonl(INADDR_LOOPBACK) },
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (fd < 0)
+		return -1;
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+int free_port_hold(int *fd)
+{
+	/* goes on from port to port: none is given twice soon */
+	static int port;
+	int tries;
+
+	if (!port)
+		port = g_random_int_range(PORT_FIRST, PORT_LAST);
+	for (tries = PORT_FIRST; tries < PORT_LAST; tries++) {
+		if (++port >= PORT_LAST)
+			port = PORT_FIRST;
+		*fd = bind_port((uint16_t)port);
+		if (*fd >= 0)
+			return port;
+	}
+	return -1;
+}
+
+int free_port(void)
+{
+	int fd;
+	int port = free_port_hold(&fd);
+
+	if (port >= 0)
+		close(fd);
+	return port;
+}
--- /dev/null
+++ b/soak/fleet.c
@@ -0,0 +1,312 @@
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ask.h"
+#include "free_port.h"
+#include "net/timer.h"
+
+/* Servers of each failure domain at first, their slots and the time of a run:
+ * far more room than the callers need. */
+#define SERVERS_A_DOMAIN 2
+#define SLOTS 6
+#define WORK_MS 40
+#define STEER_TIMEOUT_MS 3000
+/* The stand-in of the platform listens within this time. */
+#define PLATFORM_START_MS 300
+#define CALL_BYTES 512
+
+const char *const fleet_domains[FLEET_DOMAINS] = { "fyn-a", "fyn-b", "jyl-a" };
+const char *const fleet_regions[FLEET_DOMAINS] = { "fyn", "fyn", "jyl" };
+
+static void new_address(char *address)
+{
+	g_snprintf(address, ADDRESS_BYTES, "127.0.0.1:%d", free_port());
+}
+
+/* @return the child's id. */
+static pid_t spawn(const struct fleet *fleet, const char *log_name,
+		   char *const *args, const char *settings)
+{
+	char *log = g_strdup_printf("%s/%s.log", fleet->out, log_name);
+	pid_t pid = fork();
+	int fd;
+
+	if (!pid) {
+		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+		if (settings)
+			g_setenv("AUBURNREACH_CONFIG", settings, true);
+		execv(args[0], args);
+		_exit(127);
+	}
+	g_free(log);
+	return pid;
+}
+
+static void write_settings(const struct fleet_vm *vm, const char *file_name)
+{
+	char *text = g_strdup_printf(
+		"{\"name\": \"%s\", \"region\": \"%s\", \"failure_domain\": "
+		"\"%s\",\n"
+		" \"failure_domains\": [{\"name\": \"fyn-a\", \"region\": "
+		"\"fyn\"},\n  {\"name\": \"fyn-b\", \"region\": \"fyn\"}, "
+		"{\"name\": \"jyl-a\", \"region\": \"jyl\"}],\n"
+		" \"request_address\": \"%s\", \"ready_address\": \"%s\",\n"
+		" \"directory_address\": \"%s\", \"metrics_address\": "
+		"\"%s\",\n \"relay_address\": \"%s\", \"store_address\": "
+		"\"%s\",\n \"bounds\": \"DrainMs=2500,GraceS=6,"
+		"BudgetRatio=0.2,BudgetExtra=100,BudgetWindowS=10,"
+		"MaxShift=0.15\"}\n",
+		vm->name, fleet_regions[vm->domain], fleet_domains[vm->domain],
+		vm->requests, vm->ready, vm->directory, vm->metrics, vm->relay,
+		vm->store);
+
+	if (!g_file_set_contents(file_name, text, -1, NULL))
+		fprintf(stderr, "soak: %s cannot be written\n", file_name);
+	g_free(text);
+}
+
+void fleet_start_vm(struct fleet *fleet, struct fleet_vm *vm)
+{
+	char *program = g_strdup_printf("%s/auburnreach-entry", fleet->build);
+	char *file = g_strdup_printf("%s/%s.json", fleet->out, vm->name);
+	char *args[] = { program, NULL };
+
+	if (!vm->pid) {
+		write_settings(vm, file);
+		vm->stopping = false;
+		vm->paused = false;
+		vm->pid = spawn(fleet, vm->name, args, file);
+	}
+	g_free(program);
+	g_free(file);
+}
+
+void fleet_signal_vm(struct fleet *fleet, struct fleet_vm *vm, int signal)
+{
+	(void)fleet;
+	if (!vm->pid)
+		return;
+	if (signal == SIGKILL || signal == SIGTERM)
+		vm->stopping = true;
+	if (signal == SIGSTOP || signal == SIGCONT)
+		vm->paused = signal == SIGSTOP;
+	kill(vm->pid, signal);
+}
+
+struct start {
+	struct fleet *fleet;
+	struct fleet_vm *vm;
+};
+
+static void on_start(evutil_socket_t fd, short what, void *context)
+{
+	struct start *start = context;
+
+	(void)fd;
+	(void)what;
+	if (start->vm->pid) {
+		timer_start(start->vm->start, 50); /* it still stops */
+		return;
+	}
+	fleet_start_vm(start->fleet, start->vm);
+}
+
+void fleet_start_vm_later(struct fleet *fleet, struct fleet_vm *vm, int64_t ms)
+{
+	(void)fleet;
+	timer_start(vm->start, ms);
+}
+
+static void reap(struct fleet *fleet)
+{
+	uint32_t i;
+	int status;
+	pid_t pid;
+
+	while ((pid = waitpid(-1, &status, WNOHANG)) > 0) {
+		for (i = 0; i < fleet->vm_count; i++) {
+			struct fleet_vm *vm = &fleet->vms[i];
+
+			if (vm->pid != pid)
+				continue;
+			vm->pid = 0;
+			if (vm->stopping)
+				continue;
+			fleet->own_ends++;
+			fprintf(stderr, "soak: %s ended by itself status=%d\n",
+				vm->name, status);
+			timer_start(vm->start, 0);
+		}
+	}
+}
+
+static void on_child(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	reap(context);
+}
+
+static void on_steered(void *context, uint16_t status, const char *body,
+		       size_t bytes)
+{
+	(void)bytes;
+	if (status != 200)
+		fprintf(stderr, "soak: the platform refused %s status=%u %s\n",
+			(char *)context, status, body);
+	g_free(context);
+}
+
+void fleet_steer(struct fleet *fleet, const char *target, const char *format, ...)
+{
+	va_list args;
+	char *json;
+
+	va_start(args, format);
+	json = g_strdup_vprintf(format, args);
+	va_end(args);
+	ask(fleet->base, fleet->control, target, json, STEER_TIMEOUT_MS,
+	    on_steered, g_strdup_printf("%s %s", target, json));
+	g_free(json);
+}
+
+void fleet_add_server(struct fleet *fleet, uint32_t domain)
+{
+	struct fleet_server *server = &fleet->servers[fleet->server_count];
+	char address[ADDRESS_BYTES];
+	char listed[ADDRESS_BYTES];
+
+	if (fleet->server_count == FLEET_SERVERS_MAX)
+		return;
+	new_address(address);
+	new_address(listed);
+	g_snprintf(server->id, sizeof(server->id), "s%u", fleet->server_count);
+	server->domain = domain;
+	server->link = proxy_link_new(fleet->base, listed, address);
+	fleet->server_count++;
+	fleet_steer(fleet, "/server",
+		    "{\"id\":\"%s\",\"address\":\"%s\",\"listed\":\"%s\","
+		    "\"service\":\"reg\",\"domain\":\"%s\",\"slots\":%d,"
+		    "\"work_ms\":%d}",
+		    server->id, address, listed, fleet_domains[domain], SLOTS,
+		    WORK_MS);
+}
+
+static void add_route(GString *routes, const char *name, const char *prefix,
+		      const char *kind)
+{
+	g_string_append_printf(
+		routes,
+		"%s\"%s\":{\"Host\":\"a.example\",\"Prefix\":\"%s\","
+		"\"Kind\":\"%s\",\"TimeoutMs\":1500,\"TargetLatencyMs\":400,"
+		"\"Priority\":1,\"Service\":\"reg\",\"MaxAttempts\":2,"
+		"\"Sticky\":true,\"HomeRegions\":[]}",
+		routes->len ? "," : "", name, prefix, kind);
+}
+
+void fleet_publish(struct fleet *fleet)
+{
+	GString *routes = g_string_new(NULL);
+	char name[16];
+	char prefix[16];
+	uint32_t i;
+
+	fleet->version++;
+	add_route(routes, "look", "/look/", "idempotent");
+	add_route(routes, "order", "/order/", "non_idempotent");
+	for (i = 1; i <= fleet->version; i++) {
+		g_snprintf(name, sizeof(name), "v%u", i);
+		g_snprintf(prefix, sizeof(prefix), "/v%u/", i);
+		add_route(routes, name, prefix, "idempotent");
+	}
+	fleet_steer(fleet, "/config",
+		    "{\"Version\":\"%08x\",\"Routes\":{%s},\"Services\":{"
+		    "\"reg\":{\"HealthPath\":\"/health\",\"MaxConns\":800,"
+		    "\"ColdStartS\":1.0,\"ColdPerS\":20}},\"Limits\":{"
+		    "\"MaxHeaderBytes\":4000,\"MaxBodyBytes\":100000,"
+		    "\"HeaderTimeoutMs\":1000,\"IdleTimeoutMs\":5000}}",
+		    fleet->version, routes->str);
+	g_string_free(routes, true);
+}
+
+static void start_platform(struct fleet *fleet)
+{
+	char *program = g_strdup_printf("%s/standin-platform", fleet->build);
+	char *args[] = { program,	 (char *)"--store",
+			 fleet->store,	 (char *)"--control",
+			 fleet->control, NULL };
+
+	new_address(fleet->store);
+	new_address(fleet->control);
+	fleet->platform = spawn(fleet, "platform", args, NULL);
+	g_free(program);
+}
+
+static void on_platform(evutil_socket_t fd, short what, void *context)
+{
+	struct fleet *fleet = context;
+	uint32_t i;
+
+	(void)fd;
+	(void)what;
+	for (i = 0; i < FLEET_DOMAINS * SERVERS_A_DOMAIN; i++)
+		fleet_add_server(fleet, i % FLEET_DOMAINS);
+	fleet_publish(fleet);
+	for (i = 0; i < fleet->vm_count; i++)
+		fleet_start_vm(fleet, &fleet->vms[i]);
+}
+
+bool fleet_start(struct fleet *fleet, uint32_t vm_count)
+{
+	const struct timeval wait = timer_span(PLATFORM_START_MS);
+	struct event *child = evsignal_new(fleet->base, SIGCHLD, on_child, fleet);
+	uint32_t i;
+
+	evsignal_add(child, NULL);
+	start_platform(fleet);
+	fleet->vm_count = vm_count;
+	for (i = 0; i < vm_count; i++) {
+		struct fleet_vm *vm = &fleet->vms[i];
+		struct start *start = g_new0(struct start, 1);
+
+		g_snprintf(vm->name, sizeof(vm->name), "e%u", i);
+		vm->domain = i % FLEET_DOMAINS;
+		new_address(vm->requests);
+		new_address(vm->ready);
+		new_address(vm->directory);
+		new_address(vm->metrics);
+		new_address(vm->relay);
+		new_address(vm->store);
+		vm->store_link =
+			proxy_link_new(fleet->base, vm->store, fleet->store);
+		if (!vm->store_link)
+			return false;
+		start->fleet = fleet;
+		start->vm = vm;
+		vm->start = evtimer_new(fleet->base, on_start, start);
+	}
+	event_base_once(fleet->base, -1, EV_TIMEOUT, on_platform, fleet, &wait);
+	return fleet->platform > 0;
+}
+
+void fleet_stop(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->vm_count; i++)
+		if (fleet->vms[i].pid)
+			kill(fleet->vms[i].pid, SIGKILL);
+	if (fleet->platform > 0)
+		kill(fleet->platform, SIGKILL);
+	while (waitpid(-1, NULL, 0) > 0)
+		;
+}
--- /dev/null
+++ b/soak/plan.c
@@ -0,0 +1,209 @@
+#include "plan.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/attributes.h"
+
+/* Events begin this long after the start and end this long before the end. */
+#define LEAD_MS 2000
+#define TAIL_MS 2000
+#define LINE_BYTES 256
+
+struct kind_row {
+	const char *name;
+	bool planned;
+	const char *ways[8]; /* of HOW */
+	gint32 for_min_ms;
+	gint32 for_max_ms;
+	gint32 weight; /* how often it is drawn */
+};
+
+static const struct kind_row kinds[SOAK_KINDS] = {
+	[SOAK_KILL] = { "kill", false, { "-" }, 100, 2500, 4 },
+	[SOAK_TERM] = { "term", true, { "-" }, 100, 1500, 3 },
+	[SOAK_PAUSE] = { "pause", false, { "-" }, 300, 6000, 4 },
+	[SOAK_HUP] = { "hup", true, { "-" }, 0, 0, 1 },
+	[SOAK_KILL_ALL] = { "kill-all", false, { "-" }, 100, 500, 1 },
+	[SOAK_STORE] = { "store", false, { "busy", "silent", "reset" }, 500, 6000, 3 },
+	[SOAK_COMPACT] = { "compact", false, { "-" }, 0, 0, 1 },
+	[SOAK_STORE_LINK] = { "store-link",
+			      false,
+			      { "delay", "silent", "oneway", "reset" },
+			      500,
+			      5000,
+			      4 },
+	[SOAK_SERVER_LINK] = { "server-link",
+			       false,
+			       { "delay", "silent", "oneway", "reset" },
+			       300,
+			       4000,
+			       4 },
+	[SOAK_SERVER] = { "server",
+			  false,
+			  { "refuse", "lose", "cut", "other-id", "unstamped" },
+			  500,
+			  4000,
+			  3 },
+	[SOAK_CRASH] = { "crash", false, { "-" }, 500, 3000, 2 },
+	[SOAK_DRAIN] = { "drain", true, { "-" }, 0, 0, 3 },
+	[SOAK_EVACUATE] = { "evacuate", true, { "-" }, 1000, 5000, 1 },
+	[SOAK_CONFIG] = { "config", true, { "-" }, 0, 0, 3 },
+};
+
+const char *soak_kind_name(enum soak_kind kind)
+{
+	return kinds[kind].name;
+}
+
+bool soak_is_planned(enum soak_kind kind)
+{
+	return kinds[kind].planned;
+}
+
+static enum soak_kind draw_kind(GRand *rand)
+{
+	gint32 total = 0;
+	gint32 at;
+	int kind;
+
+	for (kind = 0; kind < SOAK_KINDS; kind++)
+		total += kinds[kind].weight;
+	at = g_rand_int_range(rand, 0, total);
+	for (kind = 0; at >= kinds[kind].weight; kind++)
+		at -= kinds[kind].weight;
+	return (enum soak_kind)kind;
+}
+
+static const char *draw_way(GRand *rand, const struct kind_row *row)
+{
+	gint32 count = 0;
+
+	while (count < (gint32)ARRAY_SIZE(row->ways) && row->ways[count])
+		count++;
+	return row->ways[g_rand_int_range(rand, 0, count)];
+}
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	const struct soak_event *left = a;
+	const struct soak_event *right = b;
+
+	return (left->at_ms > right->at_ms) - (left->at_ms < right->at_ms);
+}
+
+struct soak_plan soak_plan_draw(uint32_t seed, int64_t length_ms)
+{
+	struct soak_plan plan = {
+		g_array_new(false, true, sizeof(struct soak_event)), length_ms
+	};
+	GRand *rand = g_rand_new_with_seed(seed);
+	gint32 count = g_rand_int_range(rand, 3, 12);
+	gint32 i;
+
+	for (i = 0; i < count; i++) {
+		struct soak_event event = { 0 };
+		const struct kind_row *row;
+
+		event.kind = draw_kind(rand);
+		row = &kinds[event.kind];
+		event.at_ms = g_rand_int_range(rand, LEAD_MS,
+					       (gint32)length_ms - TAIL_MS);
+		event.target = g_rand_int(rand) % 1000;
+		g_strlcpy(event.how, draw_way(rand, row), sizeof(event.how));
+		event.for_ms = g_rand_int_range(rand, row->for_min_ms,
+						row->for_max_ms + 1);
+		if (event.at_ms + event.for_ms > length_ms)
+			event.for_ms = length_ms - event.at_ms;
+		g_array_append_val(plan.events, event);
+	}
+	g_rand_free(rand);
+	g_array_sort(plan.events, by_time);
+	return plan;
+}
+
+static bool read_line(const char *line, struct soak_event *event)
+{
+	char kind[32];
+	int i;
+
+	if (sscanf(line, "%" SCNd64 " %31s %" SCNu32 " %15s %" SCNd64,
+		   &event->at_ms, kind, &event->target, event->how,
+		   &event->for_ms) != 5)
+		return false;
+	for (i = 0; i < SOAK_KINDS; i++) {
+		event->kind = (enum soak_kind)i;
+		if (!strcmp(kinds[i].name, kind))
+			return true;
+	}
+	return false;
+}
+
+bool soak_plan_read(const char *file_name, struct soak_plan *plan)
+{
+	FILE *file = fopen(file_name, "r");
+	char line[LINE_BYTES];
+	bool valid = file != NULL;
+	int number = 0;
+
+	plan->events = g_array_new(false, true, sizeof(struct soak_event));
+	plan->length_ms = 0;
+	if (!file)
+		fprintf(stderr, "soak: %s cannot be read\n", file_name);
+	while (valid && fgets(line, sizeof(line), file)) {
+		struct soak_event event = { 0 };
+
+		number++;
+		line[strcspn(line, "#\n")] = '\0';
+		if (!*g_strstrip(line))
+			continue;
+		valid = read_line(line, &event);
+		if (!valid)
+			fprintf(stderr, "soak: %s:%d is no event\n", file_name,
+				number);
+		plan->length_ms = MAX(plan->length_ms,
+				      event.at_ms + event.for_ms + TAIL_MS);
+		g_array_append_val(plan->events, event);
+	}
+	if (file)
+		fclose(file);
+	g_array_sort(plan->events, by_time);
+	return valid;
+}
+
+void soak_plan_print(const struct soak_plan *plan, FILE *out)
+{
+	guint i;
+
+	for (i = 0; i < plan->events->len; i++) {
+		const struct soak_event *event =
+			&g_array_index(plan->events, struct soak_event, i);
+
+		fprintf(out, "%" PRId64 " %s %" PRIu32 " %s %" PRId64 "\n",
+			event->at_ms, kinds[event->kind].name, event->target,
+			event->how, event->for_ms);
+	}
+}
+
+void soak_plan_clear(struct soak_plan *plan)
+{
+	g_array_unref(plan->events);
+}
+
+bool soak_plan_calm(const struct soak_plan *plan, int64_t moment_ms,
+		    int64_t calm_ms)
+{
+	guint i;
+
+	for (i = 0; i < plan->events->len; i++) {
+		const struct soak_event *event =
+			&g_array_index(plan->events, struct soak_event, i);
+		int64_t end_ms = event->at_ms + event->for_ms;
+
+		if (kinds[event->kind].planned)
+			continue;
+		if (event->at_ms <= moment_ms && end_ms + calm_ms >= moment_ms)
+			return false;
+	}
+	return true;
+}
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -18,14 +18,16 @@
  *
  *     /config    the operator's configuration
  *     /evacuate  {"domain": "a", "on": true}
- *     /server    {"id", "address", "service", "domain", "slots", "work_ms"}
+ *     /server    {"id", "address", "listed", "service", "domain", "slots",
+ *                "work_ms"}
  *     /drain     {"id"}        the server says that it leaves
  *     /unlist    {"id"}        its entry vanishes, it goes on serving
  *     /kill      {"id"}        it is gone, its entry stays
  *     /fault     {"id", "fault"}, without an id: of the store
  *     /compact   {}            the store forgets its history
  *
- * GET /runs names the servers that ran each request, GET /calls counts calls.
+ * GET /runs names the servers that ran each request, GET /late?MS the requests
+ * that ran at a server MS after it said that it leaves, GET /calls counts calls.
  */
 
 struct platform {
@@ -47,6 +49,7 @@
 	struct platform_server_options options = {
 		.id = text_of(body, "id"),
 		.address = text_of(body, "address"),
+		.listed = text_of(body, "listed"),
 		.service = text_of(body, "service"),
 		.failure_domain = text_of(body, "domain"),
 		.slots = (uint32_t)json_integer_value(
@@ -92,14 +95,16 @@
 		g_hash_table_lookup(platform->servers, id);
 	char *key;
 
+	if (!strcmp(what, "/unlist")) {
+		key = g_strconcat("servers/", id, NULL);
+		platform_kv_remove(platform->kv, key);
+		g_free(key);
+		return true;
+	}
 	if (!server)
 		return false;
 	if (!strcmp(what, "/drain")) {
 		platform_server_drain(server);
-	} else if (!strcmp(what, "/unlist")) {
-		key = g_strconcat("servers/", id, NULL);
-		platform_kv_remove(platform->kv, key);
-		g_free(key);
 	} else if (!strcmp(what, "/kill")) {
 		g_hash_table_remove(platform->servers, id);
 	} else {
@@ -148,6 +153,22 @@
 	return all;
 }
 
+static json_t *late_json(const struct platform *platform, const char *bound_ms)
+{
+	json_t *all = json_array();
+	GHashTableIter iter;
+	gpointer server;
+	json_t *late;
+
+	g_hash_table_iter_init(&iter, platform->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &server)) {
+		late = platform_server_late_runs(server, atoi(bound_ms));
+		json_array_extend(all, late);
+		json_decref(late);
+	}
+	return all;
+}
+
 static void on_control(void *context, struct responder_request *request)
 {
 	struct platform *platform = context;
@@ -160,8 +181,9 @@
 	json_t *runs;
 	char *text;
 
-	if (!strcmp(target, "/runs")) {
-		runs = runs_json(platform);
+	if (!strcmp(target, "/runs") || g_str_has_prefix(target, "/late?")) {
+		runs = target[1] == 'r' ? runs_json(platform)
+					: late_json(platform, target + 6);
 		text = json_dumps(runs, JSON_COMPACT);
 		evbuffer_add(answer, text, strlen(text));
 		free(text);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -27,6 +27,7 @@
 	struct responder *responder;
 	char *id;
 	char *address;
+	char *listed;
 	char *service;
 	char *failure_domain;
 	uint32_t slots;
@@ -34,6 +35,8 @@
 	uint32_t running;
 	uint32_t sequence;
 	bool draining;
+	int64_t drained_ms; /* when that was in the store */
+	json_t *late;	    /* runs that began later: id and ms */
 	enum fault fault;
 	GQueue work; /* requests that run */
 };
@@ -55,7 +58,7 @@
 		"\"Version\":\"v1\",\"Zone\":\"%s\",\"Slots\":%u},"
 		"\"Status\":{\"State\":\"%s\",\"Seq\":%u,\"ColdLeftMs\":0},"
 		"\"born\":1733286148000}",
-		server->address, server->service, server->failure_domain,
+		server->listed, server->service, server->failure_domain,
 		server->slots, server->draining ? "draining" : "ready",
 		++server->sequence);
 
@@ -118,6 +121,13 @@
 		g_hash_table_insert(server->runs, g_strdup(request_id), list);
 	}
 	g_ptr_array_add(list, g_strdup(server->id));
+	if (server->draining)
+		json_array_append_new(
+			server->late,
+			json_pack("{s:s,s:s,s:I}", "id", request_id, "server",
+				  server->id, "late_ms",
+				  (json_int_t)(clock_now_ms(&clock_system) -
+					       server->drained_ms)));
 }
 
 static void run(struct platform_server *server,
@@ -176,6 +186,9 @@
 	server->runs = runs;
 	server->id = g_strdup(options->id);
 	server->address = g_strdup(options->address);
+	server->listed =
+		g_strdup(*options->listed ? options->listed : options->address);
+	server->late = json_array();
 	server->service = g_strdup(options->service);
 	server->failure_domain = g_strdup(options->failure_domain);
 	server->slots = options->slots;
@@ -195,6 +208,8 @@
 	responder_free(server->responder);
 	g_free(server->id);
 	g_free(server->address);
+	g_free(server->listed);
+	json_decref(server->late);
 	g_free(server->service);
 	g_free(server->failure_domain);
 	g_free(server);
@@ -204,6 +219,20 @@
 {
 	server->draining = true;
 	register_self(server);
+	server->drained_ms = clock_now_ms(&clock_system);
+}
+
+json_t *platform_server_late_runs(const struct platform_server *server,
+				  int64_t bound_ms)
+{
+	json_t *late = json_array();
+	json_t *run;
+	size_t i;
+
+	json_array_foreach (server->late, i, run)
+		if (json_integer_value(json_object_get(run, "late_ms")) > bound_ms)
+			json_array_append(late, run);
+	return late;
 }
 
 bool platform_server_set_fault(struct platform_server *server, const char *name)
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -2,6 +2,7 @@
 #define STANDIN_PLATFORM_SERVER_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -18,6 +19,7 @@
 struct platform_server_options {
 	const char *id;
 	const char *address;
+	const char *listed; /**< where its entry says that it is; "": address */
 	const char *service;
 	const char *failure_domain;
 	uint32_t slots;
@@ -34,6 +36,13 @@
 		    const struct platform_server_options *options);
 void platform_server_free(struct platform_server *server);
 
+/**
+ * @return a new list of requests that began to run after the server's leaving
+ * had been in the store for `bound_ms`: "id", "server", "late_ms".
+ */
+json_t *platform_server_late_runs(const struct platform_server *server,
+				  int64_t bound_ms);
+
 /** Says that it leaves, and goes on serving. */
 void platform_server_drain(struct platform_server *server);
 
