fix(stop): a VM that stops takes only what it can end

The VM took whatever came until its end; only requests that had to queue were weighed against the time left. The relays were ruled out: the stop is older code.

Solution: while it stops, what could not end in four fifths of the time that is left is refused at once as not run, with a short Retry-After: another VM takes it. place_choose() gets this as must_end.

The unit test fails to build without the change; requests that fit are still taken.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 JOBS ?= $(shell nproc)
+SEEDS ?= 1 50
 SOURCES = $(shell git ls-files -c -o --exclude-standard '*.c' '*.h' | grep -v 'pb-c')
 
 all: ## build everything
@@ -20,18 +21,13 @@
 	@$(MAKE) --no-print-directory all
 	./demo/run $(BUILD)
 
-SEEDS ?= 1 50
 soak: all ## play random faults on real processes; SEEDS="FIRST LAST"
 	./soak/run $(BUILD) $(SEEDS) 8
 
 bench: all ## measure a forward, look-ups and the choice of server
 	./bench/run $(BUILD)
 
-decide-SEEDS ?= 1 50
-soak: all ## play random faults on real processes; SEEDS="FIRST LAST"
-	./soak/run $(BUILD) $(SEEDS) 8
-
-bench: all ## compare the ways to place requests, in models
+decide-bench: all ## compare the ways to place requests, in models
 	$(BUILD)/auburnreach-bench decide
 	$(BUILD)/auburnreach-bench fleet bench/patterns/*.json
 
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -105,7 +105,7 @@
 		}
 		if (choice->verdict == PLACE_NO_ROOM && wait_ms < choice->wait_ms)
 			choice->wait_ms = wait_ms;
-		if (wait_ms &&
+		if ((wait_ms || request->must_end) &&
 		    (wait_ms + candidate->path_ms > request->wait_max_ms ||
 		     wait_ms + candidate->path_ms + runs_ms >
 			     request->time_left_ms))
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -15,7 +15,10 @@
  * Every entry VM ranks the servers of a service by a hash of object and server,
  * so that all agree without messages. A request goes to the first server in
  * that order whose queue is short enough for an answer in time. What finds none
- * is refused before it costs a slot. Pure.
+ * is refused before it costs a slot.
+ *
+ * Load pattern: callers still reach a VM that stops. What it could not end is
+ * refused while another VM can run it. Pure.
  */
 
 /** A backend server as the decision sees it. */
@@ -40,6 +43,7 @@
 	uint32_t slow_ms;     /**< the same, where the object is not known */
 	uint32_t wait_max_ms; /**< longest wait and path worth their time */
 	uint32_t time_left_ms;
+	bool must_end; /**< this VM stops when the time has passed */
 };
 
 enum place_verdict {
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -241,6 +241,10 @@
 {
 	uint32_t ms = e->wait_ms ? e->wait_ms : RETURN_DEFAULT_MS;
 
+	/* another VM can take it at once */
+	if (e->proxy->stopping)
+		ms = 0;
+
 	/* callers who were refused together return apart */
 	return (uint32_t)g_random_int_range((gint32)(ms / 2 + 50),
 					    (gint32)(ms * 3 / 2 + 51));
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -16,6 +16,9 @@
  * in the last moments is in no report. Less urgent routes give way first. */
 #define WAIT_SHARE_URGENT 0.8
 #define WAIT_SHARE_OTHER 0.65
+/* Part of the time until this process ends that a request taken while it stops
+ * may be expected to need. */
+#define STOP_USED 0.8
 /* Reports of waiting requests count this long. */
 #define REPORT_FRESH_MS 1000
 /* Part of the bound on a region's shift that one second may use; the bound
@@ -248,7 +251,7 @@
 		 "report_age_ms=%" PRId64 " known=%d wait_ms=%u away=%d "
 		 "away_share=%.2f rate_per_s=%.1f fast_ms=%.0f typical_ms=%u "
 		 "slow_ms=%u wait_max_ms=%u candidates=%u list_age_ms=%" PRId64
-		 " left_ms=%u again=%s",
+		 " left_ms=%u must_end=%d again=%s",
 		 sent ? "sent" : "not placed", e->id, e->route->name,
 		 e->service->name, e->object_hash, server ? server->id : "-",
 		 row->load, row->slots, row->near,
@@ -257,7 +260,32 @@
 		 state->spill.rate_per_s, state->time.fast_ms,
 		 request->typical_ms, request->slow_ms, request->wait_max_ms,
 		 count, belief_servers_age_ms(e->proxy->belief),
-		 request->time_left_ms, why_again ? why_again : "-");
+		 request->time_left_ms, request->must_end,
+		 why_again ? why_again : "-");
+}
+
+static uint32_t time_left_ms(int64_t until_ms, int64_t now_ms)
+{
+	return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
+}
+
+static const char *refusal_text(const struct place_choice *choice,
+				const struct place_request *request)
+{
+	if (choice->verdict == PLACE_NO_SERVER)
+		return "no-server";
+	return request->must_end ? "stopping" : "no-room";
+}
+
+/* A run that takes a little longer than usual is to end as well. */
+static void must_end_in(struct place_request *request, uint32_t stop_ms)
+{
+	uint32_t usable_ms = (uint32_t)(stop_ms * STOP_USED);
+
+	if (usable_ms < request->time_left_ms) {
+		request->must_end = true;
+		request->time_left_ms = usable_ms;
+	}
 }
 
 void exchange_place(struct exchange *e, const char *why_again)
@@ -272,19 +300,20 @@
 		.typical_ms = (uint32_t)time->typical_ms,
 		.slow_ms = (uint32_t)time->slow_ms,
 		.wait_max_ms = wait_max_ms(e, (uint32_t)time->typical_ms),
-		.time_left_ms = e->deadline_ms > now_ms
-					? (uint32_t)(e->deadline_ms - now_ms)
-					: 0,
+		.time_left_ms = time_left_ms(e->deadline_ms, now_ms),
 	};
-	struct place_choice choice = place_choose(candidates, count, &request);
+	struct place_choice choice;
 
+	if (e->proxy->stopping)
+		must_end_in(&request,
+			    time_left_ms(e->proxy->stops_at_ms, now_ms));
+	choice = place_choose(candidates, count, &request);
 	log_choice(e, &choice, count, &request, why_again);
 	if (choice.verdict != PLACE_SEND) {
 		e->wait_ms = choice.wait_ms;
 		counter_add(COUNTER_REFUSED_FULL, 1);
 		exchange_fail(e, outcome_status(e->worst, false),
-			      choice.verdict == PLACE_NO_ROOM ? "no-room"
-							      : "no-server");
+			      refusal_text(&choice, &request));
 		return;
 	}
 	if (why_again)
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -61,6 +61,7 @@
 	uint32_t exchanges;  /**< requests in progress */
 	uint64_t body_bytes; /**< held for requests in progress */
 	bool stopping;
+	int64_t stops_at_ms; /**< while stopping: when this process ends */
 };
 
 static inline int64_t proxy_now_ms(const struct proxy *proxy)
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -31,13 +31,13 @@
 	struct stop *stop = context;
 	struct proxy *proxy = stop->proxy;
 	int64_t age_ms = proxy_now_ms(proxy) - stop->began_ms;
-	int64_t limit_ms = (int64_t)proxy->bounds.stop_grace_ms - RESERVE_MS;
 
 	(void)fd;
 	(void)what;
 	if (age_ms >= CLOSE_IDLE_MS)
 		callers_close_idle(proxy);
-	if ((age_ms >= LINGER_MS && !proxy->exchanges) || age_ms >= limit_ms) {
+	if ((age_ms >= LINGER_MS && !proxy->exchanges) ||
+	    proxy_now_ms(proxy) >= proxy->stops_at_ms) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
 			 age_ms, proxy->exchanges);
 		event_base_loopbreak(proxy->base);
@@ -57,6 +57,8 @@
 		 stop->proxy->exchanges);
 	stop->proxy->stopping = true;
 	stop->began_ms = proxy_now_ms(stop->proxy);
+	stop->proxy->stops_at_ms = stop->began_ms - RESERVE_MS +
+				   (int64_t)stop->proxy->bounds.stop_grace_ms;
 	presence_withdraw(stop->proxy->presence);
 	on_look(-1, 0, stop);
 }
--- a/test/unit/decide/place_test.c
+++ b/test/unit/decide/place_test.c
@@ -108,6 +108,29 @@
 }
 
 /* A server that leaves moves its own objects only. */
+/* Load pattern: callers still hold the address of a VM that stops. What cannot
+ * end before it is refused at once, and asked of another VM. */
+static void a_vm_that_stops_takes_what_it_can_end(void)
+{
+	struct place_request request = request_for(5);
+	struct place_choice choice;
+
+	reset();
+	request.must_end = true;
+	request.time_left_ms = 1000;
+	choice = place_choose(servers, SERVERS, &request);
+	g_assert_cmpint(choice.verdict, ==, PLACE_SEND);
+	request.time_left_ms = 600; /* its server must run it slowly */
+	g_assert_cmpint(place_choose(servers, SERVERS, &request).verdict, ==,
+			PLACE_NO_ROOM);
+	servers[choice.index].known = true;
+	g_assert_cmpint(place_choose(servers, SERVERS, &request).verdict, ==,
+			PLACE_SEND);
+	request.time_left_ms = 200;
+	g_assert_cmpint(place_choose(servers, SERVERS, &request).verdict, ==,
+			PLACE_NO_ROOM);
+}
+
 static void leaving_server_moves_its_objects_only(void)
 {
 	uint32_t before[OBJECTS];
@@ -221,6 +244,7 @@
 	ADD_TEST("place", long_queue_does_not_scatter);
 	ADD_TEST("place", short_queue_is_joined);
 	ADD_TEST("place", first_request_needs_time_for_its_slow_run);
+	ADD_TEST("place", a_vm_that_stops_takes_what_it_can_end);
 	ADD_TEST("place", leaving_server_moves_its_objects_only);
 	ADD_TEST("place", objects_spread_by_slots);
 	ADD_TEST("place", only_what_should_leave_leaves_the_region);
