refactor: no cycles between order and claims, peer and view, console, model

Problem: four pairs of files called each other, and exchange.c had grown to two jobs: the way of a request and its answers.

Solution: claims get a callback to expire orders; the view owns its references; the console's forms are a module; the model's shared types are a file of their own. exchange_place() chooses and leaves sending to exchange.c; answers are in exchange_answer.c. A caller's connection and its request still know each other.

--- a/bench/model.c
+++ b/bench/model.c
@@ -1,4 +1,5 @@
-#include "model_internal.h"
+#include "model_defs.h"
+#include "model_guess.h"
 
 #include <math.h>
 #include <stdlib.h>
--- a/bench/model_internal.h
+++ b/bench/model_defs.h
@@ -1,5 +1,5 @@
-#ifndef BENCH_MODEL_INTERNAL_H
-#define BENCH_MODEL_INTERNAL_H
+#ifndef BENCH_MODEL_DEFS_H
+#define BENCH_MODEL_DEFS_H
 
 #include "decide/lend.h"
 #include "decide/pick.h"
@@ -45,12 +45,4 @@
 	return model->now_us / 1000;
 }
 
-/**
- * Chooses a server by one of the ways that guess, and counts the request as in
- * flight there.
- *
- * @return a server, or -1 when the way wants to wait.
- */
-int model_guess(struct model *model, struct request *request);
-
 #endif
--- a/bench/model_guess.c
+++ b/bench/model_guess.c
@@ -1,4 +1,4 @@
-#include "model_internal.h"
+#include "model_guess.h"
 
 /**
  * @file
--- a/soak/judge.c
+++ b/soak/judge.c
@@ -150,8 +150,9 @@
 	if (evidence->rss_max_kb > RSS_MAX_KB)
 		broken(&j, "a VM uses too much memory", NULL, NULL);
 	printf("requests=%u orders=%u served=%u refused_or_failed=%u "
-	       "denied=%u unanswered=%u last=%u rss_max_kb=%u broken=%u\n",
+	       "denied=%u unanswered=%u last=%u rss_early_kb=%u rss_max_kb=%u broken=%u\n",
 	       evidence->seen->len, orders, statuses[2], statuses[5],
-	       statuses[4], statuses[0], last, evidence->rss_max_kb, j.broken);
+	       statuses[4], statuses[0], last, evidence->rss_early_kb,
+	       evidence->rss_max_kb, j.broken);
 	return j.broken;
 }
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -18,7 +18,8 @@
 	json_t *late;	    /**< runs at servers that had left for too long */
 	int64_t served_from_ms; /**< from here on every request is served */
 	uint32_t own_ends;
-	uint32_t rss_max_kb; /**< the largest VM's memory */
+	uint32_t rss_early_kb; /**< the largest VM's memory, at first */
+	uint32_t rss_max_kb;   /**< the same, at the end */
 };
 
 /** Prints a line for each promise that broke. @return how many. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -24,6 +24,8 @@
 #define SETTLE_MS 8000
 /* Every request of this time at the end must be served. */
 #define LAST_MS 2000
+/* When the memory of VMs is looked at first. */
+#define EARLY_MS 5000
 /* Until callers have heard the last answers. */
 #define HEAR_MS 3000
 #define ASK_TIMEOUT_MS 5000
@@ -38,6 +40,7 @@
 	struct callers *callers;
 	struct soak_plan plan;
 	uint32_t caller_count;
+	uint32_t rss_early_kb;
 	json_t *runs;
 	json_t *late;
 };
@@ -304,6 +307,43 @@
 	after(soak, HEAR_MS, on_heard, soak);
 }
 
+/* @return the memory of a process, in KB; 0: not known. */
+static uint32_t rss_kb(pid_t pid)
+{
+	char *name = g_strdup_printf("/proc/%d/status", pid);
+	uint32_t kb = 0;
+	char *text;
+	char *line;
+
+	if (g_file_get_contents(name, &text, NULL, NULL)) {
+		line = strstr(text, "VmRSS:");
+		kb = line ? (uint32_t)atoi(line + strlen("VmRSS:")) : 0;
+		g_free(text);
+	}
+	g_free(name);
+	return kb;
+}
+
+static uint32_t largest_rss_kb(const struct soak *soak)
+{
+	uint32_t largest = 0;
+	uint32_t i;
+
+	for (i = 0; i < soak->fleet.vm_count; i++)
+		if (soak->fleet.vms[i].pid)
+			largest = MAX(largest, rss_kb(soak->fleet.vms[i].pid));
+	return largest;
+}
+
+static void on_early(evutil_socket_t fd, short what, void *context)
+{
+	struct soak *soak = context;
+
+	(void)fd;
+	(void)what;
+	soak->rss_early_kb = largest_rss_kb(soak);
+}
+
 static void on_started(evutil_socket_t fd, short what, void *context)
 {
 	struct soak *soak = context;
@@ -321,26 +361,10 @@
 		add_step(soak, event, false);
 		add_step(soak, event, true);
 	}
+	after(soak, EARLY_MS, on_early, soak);
 	after(soak, soak->plan.length_ms + SETTLE_MS + LAST_MS, on_end, soak);
 }
 
-/* @return the memory of a process, in KB; 0: not known. */
-static uint32_t rss_kb(pid_t pid)
-{
-	char *name = g_strdup_printf("/proc/%d/status", pid);
-	uint32_t kb = 0;
-	char *text;
-	char *line;
-
-	if (g_file_get_contents(name, &text, NULL, NULL)) {
-		line = strstr(text, "VmRSS:");
-		kb = line ? (uint32_t)atoi(line + strlen("VmRSS:")) : 0;
-		g_free(text);
-	}
-	g_free(name);
-	return kb;
-}
-
 static uint32_t judge_all(struct soak *soak)
 {
 	struct evidence evidence = {
@@ -350,13 +374,10 @@
 		.late = soak->late,
 		.served_from_ms = soak->plan.length_ms + SETTLE_MS,
 		.own_ends = soak->fleet.own_ends,
+		.rss_early_kb = soak->rss_early_kb,
+		.rss_max_kb = largest_rss_kb(soak),
 	};
-	uint32_t i;
 
-	for (i = 0; i < soak->fleet.vm_count; i++)
-		if (soak->fleet.vms[i].pid)
-			evidence.rss_max_kb = MAX(evidence.rss_max_kb,
-						  rss_kb(soak->fleet.vms[i].pid));
 	if (!soak->runs || !soak->late) {
 		printf("BROKEN: the stand-in of the platform does not answer\n");
 		return 1;
--- a/src/console/change.h
+++ b/src/console/change.h
@@ -2,6 +2,7 @@
 #define CONSOLE_CHANGE_H
 
 #include "console/console_defs.h"
+#include "console/form.h"
 
 /**
  * @file
--- a/src/console/console_defs.h
+++ b/src/console/console_defs.h
@@ -35,16 +35,6 @@
 	char *secret; /**< of this process, for the tokens of forms */
 };
 
-/** The fields of a submitted form. */
-struct form {
-	char *text; /**< owns what the fields point to */
-	struct mg_header fields[64];
-	int field_count;
-};
-
-/** @return a field's value, or "". */
-const char *form_get(const struct form *form, const char *name);
-
 extern const struct shape console_settings_shape;
 
 #endif
--- a/src/console/guard.h
+++ b/src/console/guard.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 
 #include "console/console_defs.h"
+#include "console/form.h"
 
 /**
  * @file
--- a/src/console/main.c
+++ b/src/console/main.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "console/change.h"
 #include "console/console_defs.h"
+#include "console/form.h"
 #include "console/forms.h"
 #include "console/guard.h"
 #include "console/page.h"
@@ -19,48 +20,12 @@
  * auburnreach-console: forms whose output is one document.
  */
 
-#define FORM_BYTES_MAX 65536
 #define STORE_TIMEOUT_MS 3000
 #define PASSWORD_BYTES_MAX 256
 #define THREADS 16
 
 #define EXIT_USAGE 2
 
-const char *form_get(const struct form *form, const char *name)
-{
-	int i;
-
-	for (i = 0; i < form->field_count; i++)
-		if (!strcmp(form->fields[i].name, name))
-			return form->fields[i].value ? form->fields[i].value : "";
-	return "";
-}
-
-/** Reads a form. @return false once the request has been refused. */
-static bool read_form(struct mg_connection *connection, struct form *form)
-{
-	int64_t bytes;
-
-	memset(form, 0, sizeof(*form));
-	if (strcmp(mg_get_request_info(connection)->request_method, "POST") != 0) {
-		http_reply_error(connection, 405, "Allow: POST\r\n",
-				 "this page takes forms only",
-				 "begin at the first page");
-		return false;
-	}
-	bytes = http_read_body(connection, FORM_BYTES_MAX, &form->text);
-	if (bytes >= 0)
-		form->field_count =
-			mg_split_form_urlencoded(form->text, form->fields,
-						 ARRAY_SIZE(form->fields));
-	if (bytes >= 0 && form->field_count >= 0)
-		return true;
-	http_reply_error(connection, 400, NULL, "the form cannot be read",
-			 "send it from the console's own pages");
-	free(form->text);
-	return false;
-}
-
 typedef void (*form_fn)(struct console *console, struct mg_connection *connection,
 			const char *operator_name, const struct form *form);
 
@@ -70,7 +35,7 @@
 	const char *operator_name = guard_operator(console, connection);
 	struct form form;
 
-	if (!operator_name || !read_form(connection, &form))
+	if (!operator_name || !form_read(connection, &form))
 		return 200;
 	if (guard_own_form(console, connection, operator_name, &form))
 		run(console, connection, operator_name, &form);
--- a/src/entry/claims.c
+++ b/src/entry/claims.c
@@ -8,7 +8,6 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/ring.h"
-#include "entry/order.h"
 
 #define RING_SLOTS 4096
 #define BATCH_MAX 32
@@ -34,6 +33,7 @@
 
 struct claims {
 	struct entry *entry;
+	void (*expire)(struct entry *entry);
 	struct ring *ring;
 	pthread_t thread;
 	atomic_bool stopping;
@@ -199,7 +199,7 @@
 	if (now_ms - claims->expired_ms < EXPIRE_PERIOD_MS)
 		return;
 	claims->expired_ms = now_ms;
-	order_expire(claims->entry);
+	claims->expire(claims->entry);
 }
 
 static void *run(void *context)
@@ -227,13 +227,15 @@
 	return NULL;
 }
 
-struct claims *claims_start(struct entry *entry)
+struct claims *claims_start(struct entry *entry,
+			    void (*expire)(struct entry *entry))
 {
 	struct claims *claims = calloc(1, sizeof(*claims));
 
 	if (!claims)
 		return NULL;
 	claims->entry = entry;
+	claims->expire = expire;
 	claims->ring = ring_new(RING_SLOTS);
 	pthread_mutex_init(&claims->lock, NULL);
 	pthread_cond_init(&claims->written, NULL);
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -28,8 +28,13 @@
 	enum verdict outcome; /**< MAY_HAVE_RUN until an outcome is recorded */
 };
 
-/** @return started claims, or NULL. The entry's store must be set. */
-struct claims *claims_start(struct entry *entry);
+/**
+ * @param expire called now and then on the thread of the claims: what was
+ * remembered for too long is to be forgotten.
+ * @return started claims, or NULL. The entry's store must be set.
+ */
+struct claims *claims_start(struct entry *entry,
+			    void (*expire)(struct entry *entry));
 
 /** Writes what is queued and stops the thread. */
 void claims_stop(struct claims *claims);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -12,6 +12,7 @@
 #include "entry/entry_defs.h"
 #include "entry/leave.h"
 #include "entry/lookup.h"
+#include "entry/order.h"
 #include "entry/outside.h"
 #include "entry/probe.h"
 #include "entry/serve.h"
@@ -155,7 +156,7 @@
 	entry->peer = start_peer(entry);
 	if (!entry->peer)
 		goto out;
-	entry->claims = claims_start(entry);
+	entry->claims = claims_start(entry, order_expire);
 	entry->watch = watch_start(entry);
 	entry->probe = probe_start(entry);
 	if (entry->claims && entry->watch && entry->probe)
--- a/src/peer/view.c
+++ b/src/peer/view.c
@@ -65,6 +65,25 @@
 	gauge_set(GAUGE_MEMBERS_SUSPECT, suspect);
 }
 
+struct peer_view *peer_view_get(struct peer *peer)
+{
+	struct peer_view *view;
+
+	pthread_mutex_lock(&peer->lock);
+	view = peer->view;
+	__atomic_add_fetch(&view->references, 1, __ATOMIC_ACQ_REL);
+	pthread_mutex_unlock(&peer->lock);
+	return view;
+}
+
+void peer_view_release(struct peer_view *view)
+{
+	if (!view || __atomic_sub_fetch(&view->references, 1, __ATOMIC_ACQ_REL))
+		return;
+	free(view->members);
+	free(view);
+}
+
 void peer_view_rebuild(struct peer *peer)
 {
 	struct peer_view *view = calloc(1, sizeof(*view));
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -49,15 +49,30 @@
 void exchange_choose_side(struct exchange *exchange);
 
 /**
- * Chooses a server and sends the request, or refuses it. May end the exchange.
+ * Chooses a server for the request and counts it as tried.
  *
  * @param why_again NULL for the first send.
+ * @param refusal receives a word for the log when there is none.
+ * @return the server, or NULL.
  */
-void exchange_place(struct exchange *exchange, const char *why_again);
+struct server *exchange_place(struct exchange *exchange, const char *why_again,
+			      const char **refusal);
+
+/** Frees an exchange that needs no answer. */
+void exchange_free(struct exchange *exchange);
 
 /** Answers with a status of our own and ends the exchange. */
 void exchange_fail(struct exchange *exchange, uint16_t status, const char *why);
 
+/** Passes on the whole answer of the attempt and ends the exchange. */
+void exchange_deliver(struct exchange *exchange);
+
+/** Begins to pass on the attempt's answer while it still arrives. */
+void exchange_pass_on(struct exchange *exchange);
+
+/** The answer that is passed on has ended, whole or not. Ends the exchange. */
+void exchange_end_passed_on(struct exchange *exchange, enum attempt_end end);
+
 /** @return whether the server was tried for this request. */
 bool exchange_has_tried(const struct exchange *exchange,
 			const struct server *server);
@@ -68,6 +83,4 @@
 struct route_state *exchange_route_state(const struct exchange *exchange);
 struct retry_share_rule exchange_retry_rule(const struct exchange *exchange);
 
-extern const struct attempt_events exchange_attempt_events;
-
 #endif
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "base/counter.h"
 #include "base/log.h"
 #include "decide/cold_share.h"
 #include "decide/place.h"
@@ -209,18 +208,6 @@
 	return count;
 }
 
-static void send_to(struct exchange *e, struct server *server, int64_t now_ms)
-{
-	if (server->cold_until_ms > now_ms)
-		server->cold_sent_ms = now_ms;
-	e->tried[e->tried_count++] = server_hold(server);
-	e->attempt = attempt_start(e->proxy, server, &e->request,
-				   &exchange_attempt_events, e);
-	if (!e->attempt)
-		exchange_fail(e, outcome_status(e->worst, false),
-			      "no-connection");
-}
-
 /* Longest wait at a server after which the answer still comes in the route's
  * target time. Callers of less urgent routes give way first. */
 static uint32_t wait_max_ms(const struct exchange *e, uint32_t service_ms)
@@ -292,7 +279,8 @@
 	}
 }
 
-void exchange_place(struct exchange *e, const char *why_again)
+struct server *exchange_place(struct exchange *e, const char *why_again,
+			      const char **refusal)
 {
 	int64_t now_ms = proxy_now_ms(e->proxy);
 	uint32_t count = collect(e, now_ms);
@@ -307,6 +295,7 @@
 		.time_left_ms = time_left_ms(e->deadline_ms, now_ms),
 	};
 	struct place_choice choice;
+	struct server *server;
 
 	if (e->proxy->stopping)
 		must_end_in(&request,
@@ -315,15 +304,15 @@
 	log_choice(e, &choice, count, &request, why_again);
 	if (choice.verdict != PLACE_SEND) {
 		e->wait_ms = choice.wait_ms;
-		counter_add(COUNTER_REFUSED_FULL, 1);
-		exchange_fail(e, outcome_status(e->worst, false),
-			      refusal_text(&choice, &request));
-		return;
+		*refusal = refusal_text(&choice, &request);
+		return NULL;
 	}
-	if (why_again)
-		counter_add(COUNTER_RETRIES, 1);
+	server = candidate_servers[choice.index];
 	e->known_there = candidates[choice.index].known;
 	e->expected_ms = choice.wait_ms + candidates[choice.index].path_ms +
 			 request.typical_ms;
-	send_to(e, candidate_servers[choice.index], now_ms);
+	if (server->cold_until_ms > now_ms)
+		server->cold_sent_ms = now_ms;
+	e->tried[e->tried_count++] = server_hold(server);
+	return server;
 }
--- a/test/scenario/world.c
+++ b/test/scenario/world.c
@@ -164,7 +164,7 @@
 	g_assert_true(state_init(entry));
 	entry->store = world_store(at);
 	world_connect(at);
-	entry->claims = claims_start(entry);
+	entry->claims = claims_start(entry, order_expire);
 	g_assert_nonnull(entry->claims);
 }
 
