--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 slopes: all ## measure what control costs at several sizes (about ten minutes)
 	./bench/slopes $(BUILD)
 
+control: all ## measure what control costs at several sizes (five minutes)
+	./bench/control $(BUILD) 10 30 50 100
+
 lint: all ## clang-tidy, cppcheck and the project's own checks
 	./.ci/lint $(BUILD)
 
@@ -62,4 +65,4 @@
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*\#\#' Makefile | sed 's/:.*## /\t/' | expand -t 16
 
-.PHONY: all deps test demo soak bench decide-bench slopes lint format check-format asan tsan fuzz clean help
+.PHONY: all deps test demo soak bench decide-bench slopes control lint format check-format asan tsan fuzz clean help
