fix(soak): soaks side by side take ports apart; no leak at the end

Two soaks had drawn neighbouring ports and each took free ones that the other was about to use.

Solution: ports begin at a place that depends on the process's id, 128 apart.

--- a/bench/free_port.c
+++ b/bench/free_port.c
@@ -1,13 +1,14 @@
 #include "free_port.h"
 
 #include <arpa/inet.h>
-#include <glib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 /* Below the range from which the system gives ports to connections that go
  * out: a port that was free stays free until its program starts. */
 #define PORT_FIRST 10000
+/* More than a soak of the usual size uses. */
+#define PORTS_APART 128
 #define PORT_LAST 32000
 
 /* @return a socket bound to the port, or -1 when the port is taken. */
@@ -34,8 +35,10 @@
 	static int port;
 	int tries;
 
+	/* programs that run side by side begin apart */
 	if (!port)
-		port = g_random_int_range(PORT_FIRST, PORT_LAST);
+		port = PORT_FIRST +
+		       getpid() * PORTS_APART % (PORT_LAST - PORT_FIRST);
 	for (tries = PORT_FIRST; tries < PORT_LAST; tries++) {
 		if (++port >= PORT_LAST)
 			port = PORT_FIRST;
--- a/soak/main.c
+++ b/soak/main.c
@@ -97,32 +97,35 @@
 	return false;
 }
 
+/* The entry of a server that was taken away. */
+struct unlisting {
+	struct soak *soak;
+	char id[16];
+};
+
 static void on_unlist(evutil_socket_t fd, short what, void *context)
 {
-	struct step *step = context;
+	struct unlisting *unlisting = context;
 
 	(void)fd;
 	(void)what;
-	fleet_steer(&step->soak->fleet, "/unlist", "{\"id\":\"s%u\"}",
-		    step->event->target);
+	fleet_steer(&unlisting->soak->fleet, "/unlist", "{\"id\":\"%s\"}",
+		    unlisting->id);
+	g_free(unlisting);
 }
 
 static void take_server(struct soak *soak, const struct soak_event *event)
 {
 	struct fleet_server *server = server_of(soak, event);
-	struct soak_event *leaving;
-	struct step *step;
+	struct unlisting *unlisting = g_new0(struct unlisting, 1);
 
 	fleet_add_server(&soak->fleet, server->domain);
 	server->gone = true;
 	fleet_steer(&soak->fleet, event->kind == SOAK_DRAIN ? "/drain" : "/kill",
 		    "{\"id\":\"%s\"}", server->id);
-	leaving = g_new0(struct soak_event, 1);
-	leaving->target = (uint32_t)(server - soak->fleet.servers);
-	step = g_new0(struct step, 1);
-	step->soak = soak;
-	step->event = leaving;
-	after(soak, UNLIST_MS, on_unlist, step);
+	unlisting->soak = soak;
+	g_strlcpy(unlisting->id, server->id, sizeof(unlisting->id));
+	after(soak, UNLIST_MS, on_unlist, unlisting);
 }
 
 static void kill_all(struct soak *soak, const struct soak_event *event)
