fix(soak): overlapping faults end, and events may begin a little early

The product was ruled out: it answered 503, not run, as it should.

Solution: events carry whether they are on; a moment is not calm 20 ms before a fault.

--- a/soak/main.c
+++ b/soak/main.c
@@ -48,7 +48,7 @@
 /* One event of the plan, at its begin or at its end. */
 struct step {
 	struct soak *soak;
-	const struct soak_event *event;
+	struct soak_event *event;
 	bool is_end;
 };
 
@@ -81,17 +81,14 @@
 static bool still_done(const struct soak *soak, const struct soak_event *event)
 {
 	const GArray *list = soak->plan.events;
-	int64_t now_ms = callers_now_ms(soak->callers);
 	guint i;
 
 	for (i = 0; i < list->len; i++) {
 		const struct soak_event *other =
 			&g_array_index(list, struct soak_event, i);
 
-		if (other != event && other->kind == event->kind &&
-		    (other->kind == SOAK_STORE || other->target == event->target) &&
-		    other->at_ms <= now_ms &&
-		    other->at_ms + other->for_ms > now_ms)
+		if (other->is_on && other->kind == event->kind &&
+		    (other->kind == SOAK_STORE || other->target == event->target))
 			return true;
 	}
 	return false;
@@ -253,6 +250,7 @@
 		step->is_end ? "end of" : "begin",
 		soak_kind_name(step->event->kind), step->event->target,
 		step->event->how);
+	step->event->is_on = !step->is_end;
 	if (step->is_end)
 		end(step->soak, step->event);
 	else
@@ -260,8 +258,7 @@
 	g_free(step);
 }
 
-static void add_step(struct soak *soak, const struct soak_event *event,
-		     bool is_end)
+static void add_step(struct soak *soak, struct soak_event *event, bool is_end)
 {
 	struct step *step = g_new0(struct step, 1);
 
@@ -358,7 +355,7 @@
 	soak->callers = callers_new(&soak->fleet, soak->caller_count, BOUND_MS);
 	callers_published(soak->callers, soak->fleet.version);
 	for (i = 0; i < list->len; i++) {
-		const struct soak_event *event =
+		struct soak_event *event =
 			&g_array_index(list, struct soak_event, i);
 
 		add_step(soak, event, false);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -9,6 +9,8 @@
 #define LEAD_MS 2000
 #define TAIL_MS 2000
 #define LINE_BYTES 256
+/* The loop may play an event a little before its time. */
+#define EARLY_MS 20
 
 struct kind_row {
 	const char *name;
@@ -202,7 +204,8 @@
 
 		if (kinds[event->kind].planned)
 			continue;
-		if (event->at_ms <= moment_ms && end_ms + calm_ms >= moment_ms)
+		if (event->at_ms <= moment_ms + EARLY_MS &&
+		    end_ms + calm_ms >= moment_ms)
 			return false;
 	}
 	return true;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -41,6 +41,7 @@
 	uint32_t target;
 	char how[16]; /**< "-": nothing to say */
 	int64_t for_ms;
+	bool is_on; /**< has begun and not ended */
 };
 
 struct soak_plan {
