--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -276,7 +276,7 @@
 	fleet->vm_count = vm_count;
 	for (i = 0; i < vm_count; i++) {
 		struct fleet_vm *vm = &fleet->vms[i];
-		struct start *start = g_new0(struct start, 1);
+		struct start *start;
 
 		g_snprintf(vm->name, sizeof(vm->name), "e%u", i);
 		vm->domain = i % FLEET_DOMAINS;
@@ -290,6 +290,7 @@
 			proxy_link_new(fleet->base, vm->store, fleet->store);
 		if (!vm->store_link)
 			return false;
+		start = g_new0(struct start, 1);
 		start->fleet = fleet;
 		start->vm = vm;
 		vm->start = evtimer_new(fleet->base, on_start, start);
--- a/src/kv/relay.c
+++ b/src/kv/relay.c
@@ -13,8 +13,7 @@
 /* Larger answers are compressed: many VMs may start together and read
  * everything over this VM's link. */
 #define COMPRESS_BYTES_MIN 4096
-/* Longest wait of one watch: a VM that asks notices within this time and a
- * little that this one has died. */
+/* Longest wait of one watch, as at the store. */
 #define WAIT_MAX_MS 30000
 
 #define JSON_TYPE "Content-Type: application/json\r\n"
