--- a/test/functional/platform_relay.sh
+++ b/test/functional/platform_relay.sh
@@ -24,8 +24,14 @@
 		"$OUT/$1.log" | tail -1
 }
 
+# same_relay VM...: each has named a relay, and all the same one.
 same_relay() {
-	[ "$(for name in "$@"; do relay_of "$name"; done | sort -u | wc -l)" = 1 ]
+	local name first
+	first=$(relay_of "$1")
+	[ -n "$first" ] || return 1
+	for name in "$@"; do
+		[ "$(relay_of "$name")" = "$first" ] || return 1
+	done
 }
 
 agree_on_another() {
