fix(demo): judge the killed home's orders by when they began and ended

Solution: the operation's span is at_ms less its latency, to at_ms. history_test has the cases around both ends.

--- a/bench/history.c
+++ b/bench/history.c
@@ -89,7 +89,8 @@
 		history->open++;
 }
 
-/* A key begins with the name of its home and a tilde. */
+/* A key begins with the name of its home and a tilde; at_ms is the end of the
+ * operation. */
 static bool was_lost_with_home(const struct history *history, const char *key,
 			       json_t *json, struct told told)
 {
@@ -100,8 +101,8 @@
 
 	return bytes && !strncmp(key, history->killed_home, bytes) &&
 	       key[bytes] == '~' && told.may_have_run && !told.ran &&
-	       at_ms <= history->killed_ms &&
-	       at_ms + took_ms >= history->killed_ms;
+	       at_ms - took_ms <= history->killed_ms &&
+	       at_ms >= history->killed_ms;
 }
 
 void history_read_operation(struct history *history, const char *line)
--- a/bench/history.h
+++ b/bench/history.h
@@ -13,9 +13,9 @@
 
 struct history {
 	const char *killed_home; /**< entry VM that was killed, or NULL */
-	int64_t killed_ms; /**< when, on the clock of the callers' `at_ms` */
-	GHashTable *runs;  /**< key -> how often it ran */
-	GHashTable *seen;  /**< keys that callers used */
+	int64_t killed_ms;	 /**< when, after the load began */
+	GHashTable *runs;	 /**< key -> how often it ran */
+	GHashTable *seen;	 /**< keys that callers used */
 	uint64_t runs_read;
 	uint64_t operations;
 	uint64_t orders;
--- a/test/unit/bench/history_test.c
+++ b/test/unit/bench/history_test.c
@@ -30,19 +30,19 @@
 
 static void only_what_died_with_its_home(void)
 {
-	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "6800", "may-have-run")),
+	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "7300", "may-have-run")),
 			 ==, 1);
 	/* another home, too early, too late, and told something else */
-	g_assert_cmpuint(excused(ORDER("entry-c~1~x", "6800", "may-have-run")),
+	g_assert_cmpuint(excused(ORDER("entry-c~1~x", "7300", "may-have-run")),
 			 ==, 0);
-	g_assert_cmpuint(excused(ORDER("entry-bb~1~x", "6800", "may-have-run")),
+	g_assert_cmpuint(excused(ORDER("entry-bb~1~x", "7300", "may-have-run")),
 			 ==, 0);
-	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "6400", "may-have-run")),
+	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "6999", "may-have-run")),
 			 ==, 0);
-	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "7001", "may-have-run")),
+	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "7501", "may-have-run")),
 			 ==, 0);
-	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "6800", "not-run")), ==, 0);
-	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "6800", "ran")), ==, 0);
+	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "7300", "not-run")), ==, 0);
+	g_assert_cmpuint(excused(ORDER("entry-b~1~x", "7300", "ran")), ==, 0);
 }
 
 int main(int argc, char **argv)
