perf(kv): followers wait for their relay instead of calling the store

Calls by kind showed where they came from. A VM that becomes the relay learns it in a callback and sent two calls on one channel; the second waited behind a watch, timed out and made the feed stale. A relay whose feed was stale for some milliseconds (it had just begun, or the store had cut its watch) answered 503, and each follower read from the store for three seconds. Watches waited as long as the store keeps its history, were answered 410, and all keys were read again. Each VM read the list of VMs at full price and renewed its lease every second.

**Solution** One call at a time after a callback that changes the relay. A relay holds reads for up to 800 ms while a read that makes its feed current is in progress; the first failure of a watch counts as such. Watches wait 60% of the store's history, a new setting. The first ranges of the list of VMs may be stale; such data is not passed on as current. Followers renew every 1.5 s; the lease stays 3.5 s.

New tests in relay_test and mirror_test; those for the two calls and the held reads were seen failing without the change. platform, platform_relay and platform_stop pass.

--- a/src/kv/feed.c
+++ b/src/kv/feed.c
@@ -16,6 +16,7 @@
 	uint64_t history_floor; /* later removals are all in `removals` */
 	uint64_t last_change_revision;
 	bool current;
+	bool refreshing; /* a read that makes it current is in progress */
 	void (*changed)(void *context);
 	void *context;
 };
@@ -108,19 +109,32 @@
 		feed->history_floor = revision;
 	feed->revision = MAX(feed->revision, revision);
 	feed->current = from_store;
+	feed->refreshing = false;
 	if (feed->changed)
 		feed->changed(feed->context);
 }
 
 void feed_interrupt(struct feed *feed)
 {
-	if (!feed->current)
+	if (!feed->current && !feed->refreshing)
 		return;
 	feed->current = false;
+	feed->refreshing = false;
 	if (feed->changed)
 		feed->changed(feed->context);
 }
 
+void feed_begin_refresh(struct feed *feed)
+{
+	feed->current = false;
+	feed->refreshing = true;
+}
+
+bool feed_is_refreshing(const struct feed *feed)
+{
+	return feed->refreshing;
+}
+
 bool feed_is_current(const struct feed *feed)
 {
 	return feed->current;
--- a/src/kv/feed.h
+++ b/src/kv/feed.h
@@ -44,6 +44,13 @@
 /** Marks the feed as stale: newer changes of the store may not arrive. */
 void feed_interrupt(struct feed *feed);
 
+/** Marks the feed as stale, while a read from the store is in progress that
+ * will make it current again. */
+void feed_begin_refresh(struct feed *feed);
+
+/** @return whether the feed is stale and will soon be current or interrupted. */
+bool feed_is_refreshing(const struct feed *feed);
+
 /** @return whether other VMs may read from the feed now. */
 bool feed_is_current(const struct feed *feed);
 
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -15,7 +15,10 @@
 #define RANGE_TIMEOUT_MS 1500
 /* Longest wait of one watch. Shorter waits cost more calls; a longer one delays
  * the detection of a connection that is silently dead. */
-#define WATCH_WAIT_MS 20000
+#define WATCH_WAIT_MAX_MS 20000
+/* Wait of one watch in percent of the time for which the store keeps its
+ * history. */
+#define WATCH_WAIT_HISTORY_PERCENT 60
 /* Wait of the first watch while the feed is stale: other VMs may read from the
  * feed once the store has responded to a watch. */
 #define WATCH_WAIT_MIN_MS 1
@@ -61,6 +64,10 @@
 	void *context;
 	char *prefix;
 	uint32_t batch_ms;
+	uint32_t watch_wait_ms;
+	uint32_t stale_ranges; /* left to read, see mirror_allow_stale_start() */
+	uint32_t stale_pause_ms;
+	bool range_is_stale; /* the range in progress may return old data */
 	struct source *source;
 	struct feed *feed;
 	struct event *retry_timer;
@@ -76,7 +83,8 @@
 	uint32_t retry_ms;
 	int64_t last_response_ms;    /* -1: never */
 	int64_t outage_end_ms;	     /* of the last outage; -1: none */
-	int64_t relay_wait_until_ms; /* see mirror_start() */
+	bool wait_for_relay;	     /* see mirror_start() */
+	int64_t relay_wait_until_ms; /* -1: not begun */
 	int64_t last_failure_ms; /* at the store; -1: none since a response */
 };
 
@@ -118,7 +126,12 @@
 			 m->last_response_ms < 0 ? -1
 						 : now - m->last_response_ms);
 	}
-	feed_interrupt(m->feed);
+	/* the store also cuts watches while it is healthy: followers of this
+	 * VM's feed wait for the next call instead of calling the store */
+	if (m->in_outage || m->retry_ms)
+		feed_interrupt(m->feed);
+	else
+		feed_begin_refresh(m->feed);
 	m->retry_ms = m->retry_ms ? m->retry_ms * 2 : RETRY_MIN_MS;
 	if (m->retry_ms > max_ms)
 		m->retry_ms = max_ms;
@@ -166,6 +179,17 @@
 	return true;
 }
 
+/* @return whether another range of the start is still to be read, because no
+ * relay is known yet. */
+static bool schedule_stale_range(struct mirror *m)
+{
+	if (!m->range_is_stale || !m->stale_ranges || source_has_relay(m->source))
+		return false;
+	m->synced = false;
+	timer_start(m->retry_timer, m->stale_pause_ms);
+	return true;
+}
+
 static void on_range(void *context, uint16_t status, const char *body,
 		     size_t bytes)
 {
@@ -200,10 +224,15 @@
 		known_keys_end_range(m->keys, m->revision, had_recent_outage(m));
 		m->synced = true;
 		m->may_have_missed_events = false;
-		feed_advance(m->feed, m->revision, !source_uses_relay(m->source));
+		feed_advance(m->feed, m->revision,
+			     !source_uses_relay(m->source) && !m->range_is_stale);
 		m->events->synced(m->context);
+		if (schedule_stale_range(m))
+			return;
 	}
-	send_next_call(m);
+	/* the callback may have changed the relay, which sends a call */
+	if (!source_is_busy(m->source))
+		send_next_call(m);
 }
 
 static void on_watch(void *context, uint16_t status, const char *body,
@@ -252,7 +281,9 @@
 	m->may_have_missed_events = false;
 	feed_advance(m->feed, m->revision, !source_uses_relay(m->source));
 	m->events->synced(m->context);
-	timer_start(m->retry_timer, batch_ms);
+	/* the callback may have changed the relay, which sends a call */
+	if (!source_is_busy(m->source))
+		timer_start(m->retry_timer, batch_ms);
 }
 
 static void send_watch(struct mirror *m)
@@ -261,7 +292,7 @@
 	const uint32_t slack_ms =
 		use_relay ? RELAY_WATCH_SLACK_MS : WATCH_SLACK_MS;
 	struct kv_call call;
-	uint32_t wait_ms = WATCH_WAIT_MS;
+	uint32_t wait_ms = m->watch_wait_ms;
 
 	if (source_has_relay(m->source))
 		wait_ms = use_relay ? RELAY_WATCH_WAIT_MS
@@ -280,13 +311,20 @@
 	/* all pages of a range must come from the same server */
 	if (!m->last_key && !source_select(m->source) && m->may_have_missed_events)
 		m->synced = false;
+	if (!source_uses_relay(m->source) && !feed_is_current(m->feed) &&
+	    !m->in_outage)
+		feed_begin_refresh(m->feed);
 	if (m->synced) {
 		send_watch(m);
 		return;
 	}
-	if (!m->last_key)
+	if (!m->last_key) {
 		known_keys_begin_range(m->keys);
-	kv_call_range(&call, m->prefix, m->last_key, false);
+		m->range_is_stale =
+			!source_uses_relay(m->source) && m->stale_ranges > 0;
+		m->stale_ranges -= m->range_is_stale;
+	}
+	kv_call_range(&call, m->prefix, m->last_key, m->range_is_stale);
 	source_send(m->source, &call, RANGE_TIMEOUT_MS, on_range, m);
 }
 
@@ -316,6 +354,8 @@
 	m->context = context;
 	m->prefix = strdup(prefix);
 	m->batch_ms = batch_ms;
+	m->watch_wait_ms = WATCH_WAIT_MAX_MS;
+	m->relay_wait_until_ms = -1;
 	m->source = source_new(base, clock, store, m->prefix);
 	m->feed = feed_new(prefix);
 	m->keys = known_keys_new(base, clock, m->feed, events, context);
@@ -331,11 +371,24 @@
 	if (m->started)
 		return;
 	m->started = true;
-	if (wait_for_relay)
+	m->wait_for_relay = wait_for_relay;
+	if (wait_for_relay && source_has_relay(m->source))
 		m->relay_wait_until_ms = now_ms(m) + RELAY_STARTUP_WAIT_MS;
 	send_next_call(m);
 }
 
+void mirror_set_history(struct mirror *m, uint32_t history_ms)
+{
+	m->watch_wait_ms = MIN(WATCH_WAIT_MAX_MS,
+			       history_ms / 100 * WATCH_WAIT_HISTORY_PERCENT);
+}
+
+void mirror_allow_stale_start(struct mirror *m, uint32_t count, uint32_t pause_ms)
+{
+	m->stale_ranges = count;
+	m->stale_pause_ms = pause_ms;
+}
+
 void mirror_free(struct mirror *m)
 {
 	if (!m)
@@ -394,6 +447,8 @@
 
 	if (!source_set_relay(m->source, relay))
 		return;
+	if (relay && m->wait_for_relay && m->relay_wait_until_ms < 0)
+		m->relay_wait_until_ms = now_ms(m) + RELAY_STARTUP_WAIT_MS;
 	/* a range at the store may finish, a watch would wait for long */
 	if (!watch_in_progress && !was_relay)
 		return;
--- a/src/kv/mirror.h
+++ b/src/kv/mirror.h
@@ -51,10 +51,29 @@
  * Starts reading; does nothing if already started.
  *
  * @param wait_for_relay whether to wait up to one second for a relay that is
- * still starting, instead of reading everything from the store.
+ * still starting, instead of reading everything from the store. The wait begins
+ * when the relay is set.
  */
 void mirror_start(struct mirror *mirror, bool wait_for_relay);
 
+/**
+ * Sets how long the store keeps its history; before mirror_start(). A watch
+ * that waited longer without a change could not be continued.
+ */
+void mirror_set_history(struct mirror *mirror, uint32_t history_ms);
+
+/**
+ * Lets the first `count` ranges at the store return data that is some seconds
+ * old, which the store serves at a tenth of the price; before mirror_start(). A
+ * watch from their revision follows. For keys that only have to be roughly
+ * known at the start, such as the VMs among which a relay is chosen.
+ *
+ * @param pause_ms before the second of two such ranges: time in which VMs that
+ * start together register.
+ */
+void mirror_allow_stale_start(struct mirror *mirror, uint32_t count,
+			      uint32_t pause_ms);
+
 /** Cancels the call in progress and reads the complete range again. */
 void mirror_resync(struct mirror *mirror);
 
--- a/src/kv/relay.c
+++ b/src/kv/relay.c
@@ -15,6 +15,10 @@
 #define COMPRESS_BYTES_MIN 4096
 /* Longest wait of one watch, the same as at the store. */
 #define WATCH_WAIT_MAX_MS 30000
+/* How long a request waits while the feed is being refreshed: a VM that has
+ * just become the relay, or whose watch was cut, reads from the store within
+ * this time. Shorter than the timeout of calls to a relay. */
+#define REFRESH_WAIT_MS 800
 
 #define CONTENT_TYPE_JSON "Content-Type: application/json\r\n"
 #define CONTENT_ENCODING_DEFLATE "Content-Encoding: " COMPRESS_CODING "\r\n"
@@ -38,15 +42,18 @@
 
 struct relay_feed {
 	struct feed *feed;
-	GQueue watches; /* struct watch, waiting for a change */
+	GQueue waiting; /* struct waiting_read */
 	struct response response;
 };
 
-struct watch {
+/* A watch that waits for a change, or any read that waits until the feed is
+ * current. */
+struct waiting_read {
 	struct relay_feed *owner;
 	struct responder_request *request;
 	struct event *deadline;
-	uint64_t revision;
+	bool is_watch;
+	uint64_t revision; /* watch only */
 };
 
 /* Encodes the body unless the cached one fits. */
@@ -100,70 +107,86 @@
 	evbuffer_free(body);
 }
 
-static void watch_free(struct watch *watch)
+static void waiting_read_free(struct waiting_read *read)
 {
-	g_queue_remove(&watch->owner->watches, watch);
-	event_free(watch->deadline);
-	g_free(watch);
+	g_queue_remove(&read->owner->waiting, read);
+	event_free(read->deadline);
+	g_free(read);
 }
 
 static void on_requester_gone(void *context)
 {
-	watch_free(context);
+	waiting_read_free(context);
+}
+
+static enum feed_result read_feed(const struct relay_feed *owner, bool is_watch,
+				  uint64_t revision, struct kv_page *page)
+{
+	return is_watch ? feed_since(owner->feed, revision, page)
+			: feed_all(owner->feed, page);
+}
+
+static bool must_wait(const struct relay_feed *owner, enum feed_result result)
+{
+	return result == FEED_NO_CHANGES ||
+	       (result == FEED_STALE && feed_is_refreshing(owner->feed));
+}
+
+/* Frees the waiting read and responds with `page`. */
+static void end_wait(struct waiting_read *read, enum feed_result result,
+		     struct kv_page *page)
+{
+	const struct waiting_read ended = *read;
+
+	waiting_read_free(read);
+	send_response(ended.owner, ended.request, result, page, ended.is_watch,
+		      ended.revision);
 }
 
-/* Responds to a watch whose wait has ended. */
 static void on_deadline(evutil_socket_t fd, short what, void *context)
 {
-	struct watch *watch = context;
-	struct relay_feed *owner = watch->owner;
-	struct responder_request *request = watch->request;
-	const uint64_t since_revision = watch->revision;
+	struct waiting_read *read = context;
 	struct kv_page page;
-	enum feed_result result = feed_since(owner->feed, since_revision, &page);
+	enum feed_result result =
+		read_feed(read->owner, read->is_watch, read->revision, &page);
 
 	(void)fd;
 	(void)what;
-	watch_free(watch);
-	send_response(owner, request, result, &page, true, since_revision);
+	end_wait(read, result, &page);
 }
 
 static void on_feed_changed(void *context)
 {
 	struct relay_feed *owner = context;
-	GList *link = owner->watches.head;
+	GList *link = owner->waiting.head;
 
 	while (link) {
-		struct watch *watch = link->data;
-		struct responder_request *request = watch->request;
-		const uint64_t since_revision = watch->revision;
+		struct waiting_read *read = link->data;
 		struct kv_page page;
 		enum feed_result result =
-			feed_since(owner->feed, since_revision, &page);
+			read_feed(owner, read->is_watch, read->revision, &page);
 
 		link = link->next;
-		if (result == FEED_NO_CHANGES)
-			continue;
-		watch_free(watch);
-		send_response(owner, request, result, &page, true,
-			      since_revision);
+		if (!must_wait(owner, result))
+			end_wait(read, result, &page);
 	}
 }
 
-static void add_watch(struct relay *relay, struct relay_feed *owner,
-		      struct responder_request *request,
-		      const struct kv_read_call *read)
+static void add_waiting_read(struct relay *relay, struct relay_feed *owner,
+			     struct responder_request *request,
+			     const struct kv_read_call *call, uint32_t wait_ms)
 {
-	struct watch *watch = g_new0(struct watch, 1);
+	struct waiting_read *read = g_new0(struct waiting_read, 1);
 
-	watch->owner = owner;
-	watch->request = request;
-	watch->revision = read->revision;
-	watch->deadline = evtimer_new(relay->base, on_deadline, watch);
+	read->owner = owner;
+	read->request = request;
+	read->is_watch = call->is_watch;
+	read->revision = call->revision;
+	read->deadline = evtimer_new(relay->base, on_deadline, read);
 	request->on_disconnect = on_requester_gone;
-	request->context = watch;
-	g_queue_push_tail(&owner->watches, watch);
-	timer_start(watch->deadline, MIN(read->wait_ms, WATCH_WAIT_MAX_MS));
+	request->context = read;
+	g_queue_push_tail(&owner->waiting, read);
+	timer_start(read->deadline, wait_ms);
 }
 
 static struct relay_feed *find_feed(struct relay *relay, const char *prefix)
@@ -193,10 +216,12 @@
 		responder_reply(request, 404, NULL, NULL);
 		return;
 	}
-	result = read.is_watch ? feed_since(owner->feed, read.revision, &page)
-			       : feed_all(owner->feed, &page);
-	if (read.is_watch && result == FEED_NO_CHANGES)
-		add_watch(relay, owner, request, &read);
+	result = read_feed(owner, read.is_watch, read.revision, &page);
+	if (must_wait(owner, result))
+		add_waiting_read(relay, owner, request, &read,
+				 result == FEED_NO_CHANGES
+					 ? MIN(read.wait_ms, WATCH_WAIT_MAX_MS)
+					 : REFRESH_WAIT_MS);
 	else
 		send_response(owner, request, result, &page, read.is_watch,
 			      read.revision);
@@ -232,7 +257,7 @@
 		return;
 	for (i = 0; i < relay->feed_count; i++)
 		feed_set_listener(relay->feeds[i].feed, NULL, NULL);
-	/* frees the waiting watches, see on_requester_gone() */
+	/* frees the waiting reads, see on_requester_gone() */
 	responder_free(relay->responder);
 	for (i = 0; i < relay->feed_count; i++)
 		evbuffer_free(relay->feeds[i].response.body);
--- a/src/kv/source.c
+++ b/src/kv/source.c
@@ -107,6 +107,12 @@
 	source->retry_at_ms = 0;
 }
 
+bool source_is_busy(const struct source *source)
+{
+	return kv_channel_is_busy(source->store) ||
+	       (source->relay && kv_channel_is_busy(source->relay));
+}
+
 void source_cancel(struct source *source)
 {
 	kv_channel_cancel(source->store);
--- a/src/kv/source.h
+++ b/src/kv/source.h
@@ -48,6 +48,9 @@
 /** Allows the relay to be selected again at once. */
 void source_retry_relay(struct source *source);
 
+/** @return whether a call is in progress. */
+bool source_is_busy(const struct source *source);
+
 /** Cancels the call in progress, without `done`. */
 void source_cancel(struct source *source);
 
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -41,6 +41,8 @@
 		       "VM's copy of the store; none if absent"),
 	SCHEMA_ADDRESS(proxy_settings, store_address, "store_address", true,
 		       "IP:port of the platform's store"),
+	SCHEMA_U32(proxy_settings, store_history_s, "store_history_s", 1, 3600,
+		   20, "s for which the store keeps its history of changes"),
 	SCHEMA_TEXT(proxy_settings, bounds, "bounds", false, BOUNDS_TEXT_MAX,
 		    "the deployment's bounds, as name=value joined by commas"),
 	SCHEMA_BOOL(proxy_settings, first_start, "first_start", false,
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -20,6 +20,7 @@
 	char *metrics_address;
 	char *relay_address;
 	char *store_address;
+	uint32_t store_history_s;
 	char *bounds;
 	char *log_level;
 	bool first_start;
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -30,10 +30,20 @@
  * less than 1.5 s. */
 #define RELAY_RENEWAL_INTERVAL_MS 500
 
+/* Lease renewal interval of a VM that reads through a relay, which tells it of
+ * an outage. Within the lease's time, one renewal may fail. */
+#define FOLLOWER_RENEWAL_INTERVAL_MS 1500
+
 /* If no VM is registered yet, the first one registers within this time: the
  * time for a lease, the key, and the batch delay. */
 #define RELAY_REGISTRATION_WAIT_MS 1500
 
+/* Ranges of the list of VMs that may be some seconds old: one shows the relay
+ * to a VM that starts later; at the first start of the fleet, the second one
+ * shows the VMs that started together. */
+#define STALE_RANGES 1
+#define STALE_RANGES_FIRST_START 2
+
 struct store_sync {
 	struct proxy *proxy;
 	struct mirror *operator_keys;
@@ -221,6 +231,8 @@
 	if (proxy->presence)
 		presence_set_renew_interval(proxy->presence,
 					    is_self ? RELAY_RENEWAL_INTERVAL_MS
+					    : address
+						    ? FOLLOWER_RENEWAL_INTERVAL_MS
 						    : PRESENCE_RENEW_INTERVAL_MS);
 	mirror_set_relay(store_sync->operator_keys, address);
 	mirror_set_relay(store_sync->server_keys, address);
@@ -248,14 +260,16 @@
 	struct store_sync *store_sync = context;
 
 	choose_relay(store_sync);
+	if (*store_sync->relay_name)
+		start_reading(store_sync);
 	if (store_sync->fleet_synced)
 		return;
 	store_sync->fleet_synced = true;
 	/* after the first start of the fleet, callers may be waiting already:
 	 * do not wait for a relay to register */
-	if (*store_sync->relay_name || !store_sync->proxy->settings->first_start)
+	if (!store_sync->proxy->settings->first_start)
 		start_reading(store_sync);
-	else
+	else if (!*store_sync->relay_name)
 		timer_start(store_sync->start_timer, RELAY_REGISTRATION_WAIT_MS);
 }
 
@@ -292,6 +306,21 @@
 	return store_sync->relay != NULL;
 }
 
+static void set_store_limits(struct store_sync *store_sync)
+{
+	const struct proxy_settings *settings = store_sync->proxy->settings;
+	const uint32_t history_ms =
+		settings->store_history_s * (uint32_t)MS_PER_S;
+
+	mirror_set_history(store_sync->operator_keys, history_ms);
+	mirror_set_history(store_sync->server_keys, history_ms);
+	mirror_set_history(store_sync->fleet_keys, history_ms);
+	mirror_allow_stale_start(store_sync->fleet_keys,
+				 settings->first_start ? STALE_RANGES_FIRST_START
+						       : STALE_RANGES,
+				 FLEET_BATCH_DELAY_MS);
+}
+
 struct store_sync *store_sync_new(struct proxy *proxy,
 				  const struct sockaddr_in *store)
 {
@@ -316,7 +345,8 @@
 		store_sync_free(store_sync);
 		return NULL;
 	}
-	mirror_start(store_sync->fleet_keys, false);
+	set_store_limits(store_sync);
+	mirror_start(store_sync->fleet_keys, proxy->settings->first_start);
 	return store_sync;
 }
 
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -47,6 +47,7 @@
 	uint64_t compacted_revision;
 	uint64_t next_lease;
 	uint64_t calls;
+	uint64_t cheap_calls;
 	enum platform_kv_fault fault;
 };
 
@@ -360,6 +361,7 @@
 
 	if (!page.prefix)
 		page.prefix = "";
+	kv->cheap_calls += evhttp_find_header(query, "StaleOk") != NULL;
 	g_tree_foreach(kv->items, collect_item, &page);
 	reply_json(request, 200,
 		   json_pack("{s:o,s:b,s:I}", "items", page.items, "Truncated",
@@ -440,6 +442,7 @@
 	else if (g_str_has_prefix(target, "/kv-lease"))
 		handle_lease_grant(kv, request, body);
 	if (lease && g_str_has_prefix(target, "/kv-keep/")) {
+		kv->cheap_calls++;
 		timer_start(lease->timer, lease->ttl_ms);
 		reply_json(request, 200,
 			   json_pack("{s:I}", "TtlMs", (json_int_t)lease->ttl_ms));
@@ -474,7 +477,7 @@
 	}
 }
 
-static void reset_watches(struct platform_kv *kv)
+void platform_kv_cut_watches(struct platform_kv *kv)
 {
 	while (!g_queue_is_empty(&kv->watches)) {
 		struct watch *watch = g_queue_peek_head(&kv->watches);
@@ -493,7 +496,7 @@
 			continue;
 		kv->fault = (enum platform_kv_fault)i;
 		if (kv->fault != PLATFORM_KV_NO_FAULT)
-			reset_watches(kv);
+			platform_kv_cut_watches(kv);
 		return true;
 	}
 	return false;
@@ -506,10 +509,15 @@
 	while ((event = g_queue_pop_head(&kv->history)))
 		json_decref(event);
 	kv->compacted_revision = ++kv->revision;
-	reset_watches(kv);
+	platform_kv_cut_watches(kv);
 }
 
 uint64_t platform_kv_call_count(const struct platform_kv *kv)
 {
 	return kv->calls;
 }
+
+uint64_t platform_kv_cheap_call_count(const struct platform_kv *kv)
+{
+	return kv->cheap_calls;
+}
--- a/standin/platform_kv.h
+++ b/standin/platform_kv.h
@@ -39,10 +39,17 @@
  */
 bool platform_kv_set_fault(struct platform_kv *kv, const char *name);
 
+/** Resets the connections of all waiting watches. */
+void platform_kv_cut_watches(struct platform_kv *kv);
+
 /** Discards the history; watches from an earlier revision get status 410. */
 void platform_kv_compact(struct platform_kv *kv);
 
 /** @return requests received since the start. */
 uint64_t platform_kv_call_count(const struct platform_kv *kv);
 
+/** @return of these, ranges that may return old data and lease renewals, which
+ * the platform prices at a tenth. */
+uint64_t platform_kv_cheap_call_count(const struct platform_kv *kv);
+
 #endif
--- a/test/unit/kv/mirror_test.c
+++ b/test/unit/kv/mirror_test.c
@@ -58,7 +58,7 @@
 	.synced = on_synced,
 };
 
-static void setup(void)
+static void setup_stopped(void)
 {
 	struct sockaddr_in address;
 	char text[32];
@@ -80,6 +80,11 @@
 	observed.synced = 0;
 	now = clock_from_manual(&manual);
 	mirror = mirror_new(base, &now, &address, "a/", 10, &events, NULL);
+}
+
+static void setup(void)
+{
+	setup_stopped();
 	mirror_start(mirror, false);
 }
 
@@ -186,6 +191,48 @@
 	teardown();
 }
 
+/* A hundred VMs that start together read a list of each other: at full price
+ * this would be the largest part of their calls. What the old data lacks
+ * follows by the watch. */
+static void first_ranges_may_be_stale(void)
+{
+	setup_stopped();
+	platform_kv_put(kv, "a/1", "1");
+	mirror_allow_stale_start(mirror, 2, 100);
+	mirror_start(mirror, false);
+	run_ms(60);
+	g_assert_cmpstr(value_of("a/1"), ==, "1");
+	g_assert_cmpuint(platform_kv_call_count(kv), ==, 1);
+	g_assert_cmpuint(platform_kv_cheap_call_count(kv), ==, 1);
+	/* old data must not be passed on as current */
+	g_assert_false(feed_is_current(mirror_feed(mirror)));
+	platform_kv_put(kv, "a/2", "2");
+	run_ms(200);
+	g_assert_cmpstr(value_of("a/2"), ==, "2");
+	g_assert_cmpuint(platform_kv_cheap_call_count(kv), ==, 2);
+	g_assert_true(feed_is_current(mirror_feed(mirror)));
+	platform_kv_put(kv, "a/3", "3");
+	run_ms(100);
+	g_assert_cmpstr(value_of("a/3"), ==, "3");
+	teardown();
+}
+
+/* A watch that waits as long as the store keeps its history is answered with
+ * 410, and every key is read again. */
+static void watch_ends_before_the_history(void)
+{
+	uint64_t calls;
+
+	setup_stopped();
+	mirror_set_history(mirror, 500);
+	mirror_start(mirror, false);
+	run_ms(100);
+	calls = platform_kv_call_count(kv);
+	run_ms(400);
+	g_assert_cmpuint(platform_kv_call_count(kv), >, calls);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -193,5 +240,7 @@
 	ADD_TEST("mirror", compacted_history_causes_a_complete_read);
 	ADD_TEST("mirror", missing_keys_are_removed_after_two_seconds);
 	ADD_TEST("mirror", removals_without_an_outage_apply_at_once);
+	ADD_TEST("mirror", first_ranges_may_be_stale);
+	ADD_TEST("mirror", watch_ends_before_the_history);
 	return g_test_run();
 }
--- a/test/unit/kv/relay_test.c
+++ b/test/unit/kv/relay_test.c
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include "base/counter.h"
 #include "kv/mirror.h"
 #include "net/tcp.h"
 #include "platform_kv.h"
@@ -29,6 +30,9 @@
 static struct sockaddr_in store_address;
 static struct vm reader;
 static struct vm follower;
+/* The follower stops using its relay as soon as it has read from it. */
+static bool follower_leaves_relay;
+static uint64_t calls_at_change;
 
 static void on_put(void *context, const struct kv_item *item)
 {
@@ -43,7 +47,12 @@
 
 static void on_synced(void *context)
 {
-	(void)context;
+	if (!follower_leaves_relay || context != &follower)
+		return;
+	follower_leaves_relay = false;
+	platform_kv_set_fault(kv, "silent");
+	calls_at_change = counter_get(COUNTER_STORE_CALLS);
+	mirror_set_relay(follower.mirror, NULL);
 }
 
 static const struct mirror_events events = {
@@ -285,6 +294,61 @@
 	teardown();
 }
 
+/* A VM that becomes the relay itself learns this from a response of the old one.
+ * A second call on the channel would wait behind the first one and time out. */
+static void relay_change_in_a_callback_sends_one_call(void)
+{
+	setup();
+	follower_leaves_relay = true;
+	platform_kv_put(kv, "a/new", "x");
+	run_ms(300);
+	g_assert_false(follower_leaves_relay);
+	/* one of the follower, one of the reader, whose watch was cut */
+	g_assert_cmpuint(counter_get(COUNTER_STORE_CALLS) - calls_at_change, <=,
+			 2);
+	platform_kv_set_fault(kv, "sound");
+	teardown();
+}
+
+/* The store cuts a watch of the relay while followers wait. If they turned to
+ * the store, every cut would cause calls of the whole failure domain. */
+static void cut_watch_of_the_relay_causes_no_calls_of_followers(void)
+{
+	uint64_t calls;
+
+	setup();
+	calls = counter_get(COUNTER_STORE_CALLS);
+	platform_kv_cut_watches(kv);
+	run_ms(500);
+	platform_kv_put(kv, "a/new", "x");
+	run_ms(200);
+	g_assert_true(follower_has("a/new"));
+	/* the reader's: a range, and a watch before and after the change */
+	g_assert_cmpuint(counter_get(COUNTER_STORE_CALLS) - calls, <=, 3);
+	teardown();
+}
+
+/* The follower calls a relay that has just begun to read from the store. */
+static void followers_wait_for_a_relay_that_starts(void)
+{
+	struct vm starting = { 0 };
+	uint64_t calls;
+
+	setup();
+	vm_setup(&starting);
+	calls = counter_get(COUNTER_STORE_CALLS);
+	platform_kv_set_fault(kv, "silent");
+	mirror_start(starting.mirror, false);
+	mirror_set_relay(follower.mirror, &starting.address);
+	run_ms(100);
+	/* the starting VM's, and one of the reader, whose watch was cut */
+	g_assert_cmpuint(counter_get(COUNTER_STORE_CALLS) - calls, <=, 2);
+	vm_teardown(&follower);
+	vm_setup(&follower);
+	vm_teardown(&starting);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -296,5 +360,8 @@
 	ADD_TEST("relay", mutual_relays_read_from_the_store);
 	ADD_TEST("relay", outage_causes_few_store_calls);
 	ADD_TEST("relay", removal_missed_by_the_relay_is_applied);
+	ADD_TEST("relay", relay_change_in_a_callback_sends_one_call);
+	ADD_TEST("relay", cut_watch_of_the_relay_causes_no_calls_of_followers);
+	ADD_TEST("relay", followers_wait_for_a_relay_that_starts);
 	return g_test_run();
 }
