feat(proxy): servers that leave, servers that are full, responses without end

**Problem** A server's `Server-Leaving` and the `Retry-After` of its 503 were not read: this VM went on sending to it until the store told it. A response that is no answer was buffered without limit until the deadline if it had no stamp, and one that had begun to be forwarded had no limit of time. `Keep-Alive: timeout=` times 1000 wrapped at 32 bits. Small servers of this VM read a request's body without limit.

**Solution** A server that says it is leaving gets nothing more from this VM; only a new start of it ends that. One that asks for a pause is left out of placement for so long, 60 s at most; if every server asks for one, callers are refused at once with the shortest time. An unstamped response ends at 256 KB as invalid (may have run), a forwarded one at the caller's deadline. Bodies that this VM's small servers read end at 2 MB.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -131,6 +131,7 @@
 {
 	struct shortlist groups[KINDS][SIDES] = { 0 };
 	struct place_choice choice = { PLACE_NO_SERVER, 0, 0 };
+	uint32_t busy_ms = 0; /* until the first server has room again */
 	uint32_t kind;
 	uint32_t i;
 
@@ -140,6 +141,11 @@
 					 ? SIDE_PREFERRED
 					 : SIDE_OTHER;
 
+		if (candidate->busy_ms) {
+			if (!busy_ms || candidate->busy_ms < busy_ms)
+				busy_ms = candidate->busy_ms;
+			continue;
+		}
 		if (!candidate->excluded && candidate->slots)
 			shortlist_add(&groups[candidate_kind(candidate)][side],
 				      i, candidate_score(candidate, request));
@@ -153,5 +159,9 @@
 			choose_from(&groups[kind][SIDE_OTHER], candidates,
 				    request, &choice);
 	}
+	if (choice.result == PLACE_NO_SERVER && busy_ms) {
+		choice.result = PLACE_NO_ROOM;
+		choice.wait_ms = busy_ms;
+	}
 	return choice;
 }
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -35,6 +35,7 @@
 	bool avoid;		/**< failing or slow */
 	bool missing;		/**< not listed since an outage of the store */
 	bool excluded;		/**< must not get a request now */
+	uint32_t busy_ms;	/**< it wants no requests for this long */
 };
 
 struct place_request {
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -206,7 +206,8 @@
 
 bool server_is_usable(const struct server *server)
 {
-	return server->listed && !server->draining && !server->address_reused;
+	return server->listed && !server->draining && !server->leaving &&
+	       !server->address_reused;
 }
 
 void server_update_rtt(struct server *server, int64_t elapsed_ms)
@@ -263,6 +264,23 @@
 	avoid_server(server, SLOW_AVOID_MIN_MS, "slow", now_ms);
 }
 
+void server_record_leaving(struct server *server)
+{
+	if (server->leaving)
+		return;
+	server->leaving = true;
+	log_info("servers",
+		 "server reports that it is leaving server=%s service=%s",
+		 server->id, server->service);
+}
+
+void server_record_busy(struct server *server, uint32_t ms, int64_t now_ms)
+{
+	server->busy_until_ms = MAX(server->busy_until_ms, now_ms + ms);
+	log_info("servers", "server wants no requests server=%s for_ms=%u",
+		 server->id, ms);
+}
+
 void server_record_success(struct server *server)
 {
 	server->consecutive_failures = 0;
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -29,10 +29,12 @@
 	int64_t start_unix_ms;
 	bool listed; /**< in the platform's list; false once removed or replaced */
 	bool draining; /**< according to its list entry or a response */
+	bool leaving;  /**< it said so in a response; final for this start */
 	bool missing;  /**< absent from the list since an outage of the store */
 	bool address_reused; /**< a different server responds at its address */
 	int64_t cold_until_ms;
-	int64_t cold_sent_ms; /**< last request sent to it while cold */
+	int64_t busy_until_ms; /**< it wants no request of this VM until then */
+	int64_t cold_sent_ms;  /**< last request sent to it while cold */
 	struct load_view load;
 	uint32_t rtt_ms; /**< estimated round-trip time; 0: unknown */
 	uint32_t consecutive_failures; /**< reset by a success */
@@ -87,6 +89,10 @@
 /** Records that the server took several times the expected time; it is avoided
  * at once. */
 void server_record_slow_response(struct server *server, int64_t now_ms);
+/** Records that the server reported in a response that it will exit. */
+void server_record_leaving(struct server *server);
+/** Records that the server wants no requests for the next `ms`. */
+void server_record_busy(struct server *server, uint32_t ms, int64_t now_ms);
 /** Records a successful attempt, which clears earlier failures. */
 void server_record_success(struct server *server);
 
--- a/src/net/responder.c
+++ b/src/net/responder.c
@@ -10,6 +10,9 @@
 
 /* Limit on the start line and headers of a request. */
 #define HEAD_BYTES_MAX 16384
+/* Limit on the body of a request: a value of the store in base64, with room for
+ * the rest of the call. */
+#define BODY_BYTES_MAX (2 * 1024 * 1024)
 /* Limits the file descriptors in use; further connections are closed. */
 #define CONNECTIONS_MAX 400
 /* A connection without a complete request is closed after this time. */
@@ -80,6 +83,10 @@
 	struct connection *c = context;
 
 	evbuffer_add(c->request.body, data, bytes);
+	if (evbuffer_get_length(c->request.body) <= BODY_BYTES_MAX)
+		return;
+	http_stream_abort(c->stream);
+	connection_free(c);
 }
 
 static void on_complete(void *context)
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -131,7 +131,7 @@
 	return a->request->id && !strcmp(meta->id, a->request->id);
 }
 
-static void update_server_load(struct attempt *a)
+static void update_server_state(struct attempt *a)
 {
 	int64_t now_ms = proxy_now_ms(a->proxy);
 	struct server *server = a->server;
@@ -142,6 +142,10 @@
 	else if (a->meta.not_run && a->status == 503)
 		load_record_report(&server->load, server->load.slots,
 				   server->load.slots, now_ms);
+	if (a->meta.not_run && a->status == 503 && a->meta.retry_after_ms)
+		server_record_busy(server, a->meta.retry_after_ms, now_ms);
+	if (a->meta.leaving)
+		server_record_leaving(server);
 	if (a->meta.has_cold)
 		server->cold_until_ms = now_ms + a->meta.cold_left_ms;
 	a->meta.id = NULL;
@@ -172,7 +176,7 @@
 	a->keep_alive = head->keep_alive;
 	a->expected_body_bytes = head->content_length;
 	headers_copy_response(head, a->headers);
-	update_server_load(a);
+	update_server_state(a);
 }
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
@@ -184,10 +188,15 @@
 	evbuffer_add(a->body, data, bytes);
 	if (a->streaming) {
 		a->events->body_ready(a->context, a);
-	} else if (evbuffer_get_length(a->body) > BUFFERED_RESPONSE_BYTES_MAX &&
-		   a->meta.stamped && !a->meta.encoded) {
+	} else if (evbuffer_get_length(a->body) <= BUFFERED_RESPONSE_BYTES_MAX) {
+		return;
+	} else if (a->meta.stamped && !a->meta.encoded) {
 		a->streaming = true;
 		a->events->buffer_full(a->context, a);
+	} else {
+		/* not forwarded in any case, and may have no end */
+		close_connection(a);
+		finish(a, ATTEMPT_INVALID);
 	}
 }
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -96,6 +96,7 @@
 {
 	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
 
+	e->caller_deadline_ms = e->started_ms + limit_ms;
 	if (e->route && e->route->timeout_ms < limit_ms)
 		limit_ms = e->route->timeout_ms;
 	e->deadline_ms = e->started_ms + limit_ms;
@@ -231,6 +232,24 @@
 				      now_ms);
 }
 
+/* A response that has begun is forwarded until the caller's own deadline; a
+ * faulty server may send bytes without end. */
+static void end_late_stream(struct exchange *e)
+{
+	int64_t left_ms = e->caller_deadline_ms + LATE_RESPONSE_GRACE_MS -
+			  proxy_now_ms(e->proxy);
+
+	if (left_ms > 0) {
+		timer_start(e->timer, left_ms);
+		return;
+	}
+	counter_add(COUNTER_TIMED_OUT, 1);
+	server_record_failure(attempt_server(e->attempt),
+			      outcome_text(ATTEMPT_TIMED_OUT),
+			      proxy_now_ms(e->proxy));
+	exchange_finish_streaming(e, ATTEMPT_TIMED_OUT);
+}
+
 static void on_deadline(evutil_socket_t fd, short what, void *context)
 {
 	struct exchange *e = context;
@@ -238,8 +257,10 @@
 
 	(void)fd;
 	(void)what;
-	if (e->streaming)
+	if (e->streaming) {
+		end_late_stream(e);
 		return;
+	}
 	if (e->attempt && attempt_was_sent(e->attempt)) {
 		e->worst_verdict = MAX(e->worst_verdict, VERDICT_MAY_HAVE_RUN);
 		record_timeout(e, attempt_server(e->attempt),
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -31,6 +31,7 @@
 	struct event *timer;
 	int64_t started_ms;
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
+	int64_t caller_deadline_ms;
 	uint16_t refusal_status; /* set before placement; 0: not refused */
 	const char *refusal_reason;
 	bool refuses_body;	 /* refused without reading the body */
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -184,6 +184,11 @@
 	e->spilled_over = spillover_is_remote(&state->spillover, e->object_hash);
 }
 
+static uint32_t ms_until(int64_t until_ms, int64_t now_ms)
+{
+	return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
+}
+
 static uint32_t collect_candidates(const struct exchange *e, int64_t now_ms)
 {
 	const GPtrArray *list =
@@ -197,7 +202,7 @@
 		struct server *server = g_ptr_array_index(list, i);
 		struct place_candidate *candidate = &candidates[count];
 
-		if (exchange_has_tried(e, server) || !is_eligible(e, server))
+		if (!is_eligible(e, server))
 			continue;
 		candidate_servers[count] = server;
 		candidate->server_hash = server->hash;
@@ -215,7 +220,9 @@
 		candidate->cold = server->cold_until_ms > now_ms;
 		candidate->missing = server->missing;
 		candidate->avoid = server_is_avoided(server, now_ms);
-		candidate->excluded = !has_cold_allowance(e, server, now_ms);
+		candidate->excluded = exchange_has_tried(e, server) ||
+				      !has_cold_allowance(e, server, now_ms);
+		candidate->busy_ms = ms_until(server->busy_until_ms, now_ms);
 		count++;
 	}
 	return count;
@@ -271,11 +278,6 @@
 		 retry_reason ? retry_reason : "-");
 }
 
-static uint32_t ms_until(int64_t until_ms, int64_t now_ms)
-{
-	return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
-}
-
 static const char *refusal_text(const struct place_choice *choice,
 				const struct place_request *request)
 {
--- a/src/proxy/exchange_response.c
+++ b/src/proxy/exchange_response.c
@@ -116,7 +116,6 @@
 	int64_t expected_bytes = attempt_expected_body_bytes(a);
 
 	e->streaming = true;
-	evtimer_del(e->timer);
 	caller_write_head(e->caller, attempt_status(a), attempt_headers(a),
 			  expected_bytes >= 0 ? FRAMING_CONTENT_LENGTH
 					      : FRAMING_CHUNKED,
--- a/src/proxy/message_defs.h
+++ b/src/proxy/message_defs.h
@@ -18,6 +18,7 @@
 	const char *server_id; /**< server that responded; NULL: not given */
 	bool stamped;	       /**< carries a backend server's response stamp */
 	bool not_run; /**< the server reports that it did not run the request */
+	bool leaving; /**< the server reports that it will exit */
 	bool encoded; /**< has a content encoding: not the server's own bytes */
 	bool has_load;
 	uint32_t running;
@@ -26,6 +27,8 @@
 	bool has_cold;
 	uint32_t cold_left_ms;
 	uint32_t idle_timeout_ms; /**< of this connection; 0: not given */
+	/** The server wants no request for this long; 0: not given. */
+	uint32_t retry_after_ms;
 };
 
 #endif
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -174,6 +174,18 @@
 	return all;
 }
 
+static uint32_t count_refused(const struct platform *platform)
+{
+	GHashTableIter iter;
+	gpointer server;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, platform->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		count += platform_server_refused(server);
+	return count;
+}
+
 static void on_control(void *context, struct responder_request *request)
 {
 	struct platform *platform = context;
@@ -193,6 +205,8 @@
 		evbuffer_add(response, text, strlen(text));
 		free(text);
 		json_decref(result);
+	} else if (!strcmp(target, "/refused")) {
+		evbuffer_add_printf(response, "%u\n", count_refused(platform));
 	} else if (!strcmp(target, "/calls")) {
 		evbuffer_add_printf(response, "%lu\n",
 				    (unsigned long)platform_kv_call_count(
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -6,6 +6,7 @@
 
 #include "base/attributes.h"
 #include "base/clock.h"
+#include "endless.h"
 #include "net/timer.h"
 
 enum fault {
@@ -15,16 +16,41 @@
 	FAULT_CUT,
 	FAULT_OTHER_ID,
 	FAULT_UNSTAMPED,
+	FAULT_LEAVING,
+	FAULT_BUSY,
+	FAULT_ENDLESS_HEAD,
+	FAULT_ENDLESS_BODY,
+	FAULT_ENDLESS_STAMPED,
 };
 
-static const char *const fault_names[] = { "none", "refuse",   "lose",
-					   "cut",  "other-id", "unstamped" };
+static const char *const fault_names[] = {
+	"none",
+	"refuse",
+	"lose",
+	"cut",
+	"other-id",
+	"unstamped",
+	"leaving",
+	"busy",
+	"endless-head",
+	"endless-body",
+	"endless-stamped",
+};
+
+/* What an endless response starts with. */
+static const char *const endless_starts[] = {
+	[FAULT_ENDLESS_HEAD] = "HTTP/1.1 200 OK\r\nX: ",
+	[FAULT_ENDLESS_BODY] = "HTTP/1.1 200 OK\r\n\r\n",
+	[FAULT_ENDLESS_STAMPED] = "HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\n"
+				  "Request-Id: endless\r\n\r\n",
+};
 
 struct platform_server {
 	struct event_base *base;
 	struct platform_kv *kv;
 	GHashTable *runs;
-	struct responder *responder;
+	struct responder *responder; /* NULL while `endless` takes its place */
+	struct endless *endless;
 	char *id;
 	char *address;
 	char *listed_address;
@@ -33,6 +59,7 @@
 	uint32_t slots;
 	uint32_t work_ms;
 	uint32_t running;
+	uint32_t refused; /* requests, with 503 */
 	uint32_t sequence;
 	bool draining;
 	int64_t drain_published_ms; /* when the store showed it as draining */
@@ -88,11 +115,16 @@
 	struct work *work = context;
 	struct platform_server *server = work->server;
 	struct evbuffer *body = evbuffer_new();
-	char *headers = g_strdup_printf(
-		"Request-Id: %s\r\nBackend-Load: %u,0,%u\r\n%s",
-		server->fault == FAULT_OTHER_ID ? "other" : work->id,
-		server->running, server->slots,
-		server->fault == FAULT_UNSTAMPED ? "" : "Response-Stamp: s1\r\n");
+	char *headers =
+		g_strdup_printf("Request-Id: %s\r\nBackend-Load: %u,0,%u\r\n%s",
+				server->fault == FAULT_OTHER_ID ? "other"
+								: work->id,
+				server->running, server->slots,
+				server->fault == FAULT_UNSTAMPED ? ""
+				: server->fault == FAULT_LEAVING
+					? "Response-Stamp: s1\r\n"
+					  "Server-Leaving: 1\r\n"
+					: "Response-Stamp: s1\r\n");
 
 	(void)fd;
 	(void)what;
@@ -162,18 +194,42 @@
 		responder_reply(request, 421, headers, NULL);
 	} else if (!id) {
 		responder_reply(request, 400, "Not-Executed: 1\r\n", NULL);
-	} else if (server->fault == FAULT_REFUSE ||
+	} else if (server->fault == FAULT_REFUSE || server->fault == FAULT_BUSY ||
 		   server->running >= server->slots) {
 		snprintf(headers, sizeof(headers),
 			 "Not-Executed: 1\r\nRequest-Id: %s\r\n"
-			 "Backend-Load: %u,0,%u\r\n",
-			 id, server->running, server->slots);
+			 "Backend-Load: %u,0,%u\r\n%s",
+			 id, server->running, server->slots,
+			 server->fault == FAULT_BUSY ? "Retry-After: 2.5\r\n"
+						     : "");
+		server->refused++;
 		responder_reply(request, 503, headers, NULL);
 	} else {
 		start_work(server, request, id);
 	}
 }
 
+static bool is_endless(enum fault fault)
+{
+	return fault >= FAULT_ENDLESS_HEAD;
+}
+
+/* Listens as its fault requires. @return whether it does. */
+static bool listen_again(struct platform_server *server)
+{
+	responder_free(server->responder);
+	server->responder = NULL;
+	endless_free(server->endless);
+	server->endless = NULL;
+	if (is_endless(server->fault))
+		server->endless = endless_new(server->base, server->address,
+					      endless_starts[server->fault]);
+	else
+		server->responder = responder_new(server->base, server->address,
+						  on_request, server);
+	return server->responder || server->endless;
+}
+
 struct platform_server *
 platform_server_new(struct event_base *base, struct platform_kv *kv,
 		    GHashTable *runs,
@@ -194,9 +250,7 @@
 	server->failure_domain = g_strdup(options->failure_domain);
 	server->slots = options->slots;
 	server->work_ms = options->work_ms;
-	server->responder =
-		responder_new(base, options->address, on_request, server);
-	if (!server->responder) {
+	if (!listen_again(server)) {
 		platform_server_free(server);
 		return NULL;
 	}
@@ -207,6 +261,7 @@
 void platform_server_free(struct platform_server *server)
 {
 	responder_free(server->responder);
+	endless_free(server->endless);
 	g_free(server->id);
 	g_free(server->address);
 	g_free(server->listed_address);
@@ -241,10 +296,16 @@
 	size_t i;
 
 	for (i = 0; i < ARRAY_SIZE(fault_names); i++) {
-		if (!strcmp(name, fault_names[i])) {
-			server->fault = (enum fault)i;
-			return true;
-		}
+		if (strcmp(name, fault_names[i]))
+			continue;
+		server->fault = (enum fault)i;
+		return (!server->endless && !is_endless(server->fault)) ||
+		       listen_again(server);
 	}
 	return false;
 }
+
+uint32_t platform_server_refused(const struct platform_server *server)
+{
+	return server->refused;
+}
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -50,10 +50,17 @@
 /**
  * Sets the fault injected into the next requests: none, refuse, lose (runs the
  * request and resets the connection), cut (sends half of the body), other-id
- * (responds with another request's ID), unstamped (no response stamp).
+ * (responds with another request's ID), unstamped (no response stamp), leaving
+ * (reports in its responses that it will exit), busy (refuses with a
+ * Retry-After of 2.5 s), endless-head, endless-body, endless-stamped (bytes
+ * without end in the head, in an invalid body, in a body with a stamp and the
+ * request id "endless").
  *
  * @return false if `name` is none of these.
  */
 bool platform_server_set_fault(struct platform_server *server, const char *name);
 
+/** @return the number of requests refused with 503. */
+uint32_t platform_server_refused(const struct platform_server *server);
+
 #endif
--- a/test/unit/decide/place_test.c
+++ b/test/unit/decide/place_test.c
@@ -254,6 +254,27 @@
 	g_assert_cmpuint(place_choose(servers, SERVERS, &request).index, ==, 8);
 }
 
+/* Load pattern: servers turn requests away and state when they have room again.
+ * Their objects run elsewhere meanwhile; if all do, callers learn the time. */
+static void busy_servers_are_left_alone(void)
+{
+	struct place_choice choice;
+	uint32_t first;
+	uint32_t i;
+
+	reset();
+	first = choose(1).index;
+	servers[first].busy_ms = 900;
+	choice = choose(1);
+	g_assert_cmpint(choice.result, ==, PLACE_SEND);
+	g_assert_cmpuint(choice.index, !=, first);
+	for (i = 0; i < SERVERS; i++)
+		servers[i].busy_ms = 2000 + i;
+	choice = choose(1);
+	g_assert_cmpint(choice.result, ==, PLACE_NO_ROOM);
+	g_assert_cmpuint(choice.wait_ms, ==, 2000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -270,5 +291,6 @@
 	ADD_TEST("place", prefers_better_kinds);
 	ADD_TEST("place", no_server_differs_from_no_room);
 	ADD_TEST("place", request_without_object_goes_to_least_loaded);
+	ADD_TEST("place", busy_servers_are_left_alone);
 	return g_test_run();
 }
--- a/test/unit/platform/codecs_test.c
+++ b/test/unit/platform/codecs_test.c
@@ -215,6 +215,46 @@
 	g_assert_null(meta.id);
 }
 
+static uint32_t decode_retry_after(const char *text)
+{
+	struct http_header header = { "Retry-After", text };
+	struct http_head head = head_of(&header, 1, 503);
+
+	return response_meta_decode(&head).retry_after_ms;
+}
+
+/* A server states when it has room again; a date or an absurd number must not
+ * exclude it for good. */
+static void retry_after_is_decoded_and_bounded(void)
+{
+	g_assert_cmpuint(decode_retry_after("2"), ==, 2000);
+	g_assert_cmpuint(decode_retry_after("0.25"), ==, 250);
+	g_assert_cmpuint(decode_retry_after("1e300"), ==, 60000);
+	g_assert_cmpuint(decode_retry_after("99999999999999999999"), ==, 60000);
+	g_assert_cmpuint(decode_retry_after("-1"), ==, 0);
+	g_assert_cmpuint(decode_retry_after("nan"), ==, 0);
+	g_assert_cmpuint(decode_retry_after("0x10"), ==, 0);
+	g_assert_cmpuint(decode_retry_after("2 s"), ==, 0);
+	g_assert_cmpuint(decode_retry_after("Fri, 31 Dec 1999 23:59:59 GMT"),
+			 ==, 0);
+}
+
+static void leaving_and_idle_timeout_are_decoded(void)
+{
+	struct http_header headers[] = {
+		{ "Server-Leaving", "1" },
+		{ "Keep-Alive", "timeout=4294967295" },
+	};
+	struct http_head head = head_of(headers, 2, 200);
+	struct response_meta meta = response_meta_decode(&head);
+
+	g_assert_true(meta.leaving);
+	/* in ms it would not fit 32 bits */
+	g_assert_cmpuint(meta.idle_timeout_ms, ==, 3600 * 1000);
+	headers[0].value = "0";
+	g_assert_false(response_meta_decode(&head).leaving);
+}
+
 static void kv_responses_are_decoded(void)
 {
 	static const char text[] =
@@ -301,6 +341,8 @@
 	ADD_TEST("codecs", malformed_server_entries_are_rejected);
 	ADD_TEST("codecs", request_headers_are_decoded);
 	ADD_TEST("codecs", response_headers_are_decoded);
+	ADD_TEST("codecs", retry_after_is_decoded_and_bounded);
+	ADD_TEST("codecs", leaving_and_idle_timeout_are_decoded);
 	ADD_TEST("codecs", kv_responses_are_decoded);
 	ADD_TEST("codecs", kv_calls_are_encoded);
 	ADD_TEST("codecs", directory_is_decoded_and_encoded);
