feat(kv): the store may come back from a copy

**Problem** The store may lose its last seconds and come back, its revisions given out again. Copies compared revisions across that: keys written since were taken for old ones and ignored, removed keys were not noticed, and a watch waited for a revision that would be reached again much later. The copy's entry of a server that drains or has left brought it back. A registration or crash report that the copy lacked was not written again. After a refused lease, queued crash reports waited for the next crash.

**Solution** Each response's era is read. In a later one the mirror forgets revisions, not keys, reads all keys again, and keeps what is missing for two seconds, evacuations for five; a response of an earlier era is dropped, also a relay's. A relay passes its era on and ends the watches of the earlier one. The VM registers again within half a second and writes its crash reports again; a failed report is retried after a second. A server's entry is ignored if its sequence, or its start, is earlier than what was known, also after it left. The stand-in store takes a copy and goes back to it.

--- a/src/fleet/server_defs.h
+++ b/src/fleet/server_defs.h
@@ -19,6 +19,8 @@
 	/** Unix time of its start; a different value under the same id is a
 	 * different incarnation. 0: unknown. */
 	int64_t start_unix_ms;
+	/** Counts the server's writes since its start; 0: unknown. */
+	int64_t sequence;
 };
 
 #endif
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -18,6 +18,8 @@
 /* Detecting a slow server costs a request its whole timeout, so a slow server
  * is avoided for longer. */
 #define SLOW_AVOID_MIN_MS 4000
+/* Limit on the servers that are remembered after they left the list. */
+#define REMOVALS_MAX 1024
 
 struct servers {
 	const struct clock *clock;
@@ -25,8 +27,55 @@
 	GHashTable *by_id;	/* id to struct server; owns a reference */
 	GHashTable *by_service; /* name to GPtrArray of struct server */
 	GPtrArray *empty_list;
+	GQueue removed; /* struct removal, oldest first */
 };
 
+/* A server that left the list. */
+struct removal {
+	char *id;
+	int64_t start_unix_ms;
+	int64_t sequence;
+};
+
+static void removal_free(gpointer data)
+{
+	struct removal *removal = data;
+
+	g_free(removal->id);
+	g_free(removal);
+}
+
+static void remember_removal(struct servers *servers, const struct server *server)
+{
+	struct removal *removal;
+
+	if (!server->sequence)
+		return;
+	removal = g_new0(struct removal, 1);
+	removal->id = g_strdup(server->id);
+	removal->start_unix_ms = server->start_unix_ms;
+	removal->sequence = server->sequence;
+	g_queue_push_tail(&servers->removed, removal);
+	if (g_queue_get_length(&servers->removed) > REMOVALS_MAX)
+		removal_free(g_queue_pop_head(&servers->removed));
+}
+
+static bool is_removed(const struct servers *servers,
+		       const struct server_entry *entry)
+{
+	const GList *link;
+
+	for (link = servers->removed.head; link; link = link->next) {
+		const struct removal *removal = link->data;
+
+		if (removal->start_unix_ms == entry->start_unix_ms &&
+		    entry->sequence <= removal->sequence &&
+		    !strcmp(removal->id, entry->id))
+			return true;
+	}
+	return false;
+}
+
 struct servers *servers_new(const struct clock *clock,
 			    const struct topology *topology)
 {
@@ -50,6 +99,7 @@
 	g_hash_table_destroy(servers->by_service);
 	g_hash_table_destroy(servers->by_id);
 	g_ptr_array_unref(servers->empty_list);
+	g_queue_clear_full(&servers->removed, removal_free);
 	g_free(servers);
 }
 
@@ -124,12 +174,27 @@
 	       !strcmp(server->failure_domain, entry->failure_domain);
 }
 
+static bool is_older(const struct server *server, const struct server_entry *entry)
+{
+	if (entry->start_unix_ms == server->start_unix_ms)
+		return entry->sequence < server->sequence;
+	return entry->start_unix_ms &&
+	       entry->start_unix_ms < server->start_unix_ms;
+}
+
 void servers_put(struct servers *servers, const struct server_entry *entry)
 {
 	struct server *server = g_hash_table_lookup(servers->by_id, entry->id);
 	int64_t now_ms = clock_now_ms(servers->clock);
 	bool is_new = false;
 
+	if (server ? is_older(server, entry) : is_removed(servers, entry)) {
+		log_info("servers",
+			 "older server entry is ignored server=%s "
+			 "sequence=%" PRId64,
+			 entry->id, entry->sequence);
+		return;
+	}
 	if (server && !is_same_incarnation(server, entry)) {
 		delist_server(servers, server, "replaced");
 		server = NULL;
@@ -138,6 +203,7 @@
 		server = add_server(servers, entry);
 		is_new = true;
 	}
+	server->sequence = entry->sequence;
 	server->load.slots = entry->slots;
 	if (is_new || server->draining != entry->draining || entry->cold_left_ms)
 		log_info("servers",
@@ -170,8 +236,10 @@
 {
 	struct server *server = g_hash_table_lookup(servers->by_id, id);
 
-	if (server)
-		delist_server(servers, server, "unlisted");
+	if (!server)
+		return;
+	remember_removal(servers, server);
+	delist_server(servers, server, "unlisted");
 }
 
 const GPtrArray *servers_for_service(const struct servers *servers,
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -27,6 +27,7 @@
 	struct sockaddr_in address;
 	uint64_t hash;
 	int64_t start_unix_ms;
+	int64_t sequence; /**< of its last known entry, see server_entry */
 	bool listed; /**< in the platform's list; false once removed or replaced */
 	bool draining; /**< according to its list entry or a response */
 	bool leaving;  /**< it said so in a response; final for this start */
@@ -50,7 +51,9 @@
 			    const struct topology *topology);
 void servers_free(struct servers *servers);
 
-/** Adds or updates a server from its entry in the list. */
+/** Adds or updates a server from its entry in the list. An entry that is older
+ * than what was known, from a copy to which the store went back or from a late
+ * write, is ignored. */
 void servers_put(struct servers *servers, const struct server_entry *entry);
 /** Marks a server as missing: it left the list around an outage of the store
  * and may return within seconds. */
--- a/src/kv/feed.c
+++ b/src/kv/feed.c
@@ -12,6 +12,7 @@
 	char *prefix;
 	GHashTable *items;	/* key to struct kv_item */
 	GQueue removals;	/* struct kv_item, oldest first */
+	uint64_t era;		/* of the store; 0: unknown */
 	uint64_t revision;	/* all changes up to it are applied; 0: none */
 	uint64_t history_floor; /* later removals are all in `removals` */
 	uint64_t last_change_revision;
@@ -114,6 +115,29 @@
 		feed->changed(feed->context);
 }
 
+void feed_begin_era(struct feed *feed, uint64_t era)
+{
+	bool is_first = !feed->era;
+
+	feed->era = era;
+	if (is_first)
+		return;
+	g_hash_table_remove_all(feed->items);
+	g_queue_clear_full(&feed->removals, item_free);
+	g_queue_init(&feed->removals);
+	feed->revision = 0;
+	feed->history_floor = 0;
+	feed->last_change_revision = 0;
+	feed_begin_refresh(feed);
+	if (feed->changed)
+		feed->changed(feed->context);
+}
+
+uint64_t feed_era(const struct feed *feed)
+{
+	return feed->era;
+}
+
 void feed_interrupt(struct feed *feed)
 {
 	if (!feed->current && !feed->refreshing)
--- a/src/kv/feed.h
+++ b/src/kv/feed.h
@@ -41,6 +41,15 @@
  */
 void feed_advance(struct feed *feed, uint64_t revision, bool from_store);
 
+/**
+ * Forgets all keys: the store has come back from a copy, and revisions of
+ * different eras cannot be compared. The feed is being refreshed afterwards.
+ */
+void feed_begin_era(struct feed *feed, uint64_t era);
+
+/** @return the store's era; 0: unknown. */
+uint64_t feed_era(const struct feed *feed);
+
 /** Marks the feed as stale: newer changes of the store may not arrive. */
 void feed_interrupt(struct feed *feed);
 
--- a/src/kv/known_keys.c
+++ b/src/kv/known_keys.c
@@ -5,14 +5,10 @@
 
 #include "net/timer.h"
 
-/* Keys that disappeared during an outage of the store are written again within
- * about two seconds after it ends, if their writer is still running. */
-#define REREGISTRATION_MS 2000
-
 struct entry {
 	uint64_t revision;
 	uint64_t range_seq;	  /* of the last range with the key */
-	int64_t missing_since_ms; /* 0: present */
+	int64_t missing_until_ms; /* then removed; 0: present */
 };
 
 struct known_keys {
@@ -52,9 +48,9 @@
 		const struct entry *entry = value;
 		int64_t left_ms;
 
-		if (!entry->missing_since_ms)
+		if (!entry->missing_until_ms)
 			continue;
-		left_ms = entry->missing_since_ms + REREGISTRATION_MS - now_ms;
+		left_ms = entry->missing_until_ms - now_ms;
 		if (left_ms <= 0)
 			g_ptr_array_add(expired, g_strdup(key));
 		else if (!next_ms || left_ms < next_ms)
@@ -103,9 +99,9 @@
 		entry = g_new0(struct entry, 1);
 		g_hash_table_insert(keys->entries, g_strdup(item->key), entry);
 	}
-	was_missing = entry->missing_since_ms != 0;
+	was_missing = entry->missing_until_ms != 0;
 	entry->range_seq = keys->range_seq;
-	entry->missing_since_ms = 0;
+	entry->missing_until_ms = 0;
 	if (item->revision <= entry->revision && !was_missing)
 		return;
 	entry->revision = item->revision;
@@ -113,24 +109,24 @@
 }
 
 void known_keys_remove(struct known_keys *keys, const char *key,
-		       uint64_t revision, bool may_return)
+		       uint64_t revision, uint32_t hold_ms)
 {
 	struct entry *entry = g_hash_table_lookup(keys->entries, key);
 
 	if (!entry || entry->revision > revision)
 		return;
 	feed_remove(keys->feed, key, revision);
-	if (!may_return) {
+	if (!hold_ms) {
 		remove_entry(keys, key);
 		return;
 	}
-	if (!entry->missing_since_ms) {
-		entry->missing_since_ms = clock_now_ms(keys->clock);
+	if (!entry->missing_until_ms) {
+		entry->missing_until_ms = clock_now_ms(keys->clock) + hold_ms;
 		if (keys->events->missing)
 			keys->events->missing(keys->context, key);
 	}
 	if (!evtimer_pending(keys->expiry, NULL))
-		timer_start(keys->expiry, REREGISTRATION_MS);
+		timer_start(keys->expiry, hold_ms);
 }
 
 void known_keys_begin_range(struct known_keys *keys)
@@ -139,7 +135,7 @@
 }
 
 void known_keys_end_range(struct known_keys *keys, uint64_t revision,
-			  bool may_return)
+			  uint32_t hold_ms)
 {
 	GPtrArray *not_in_range = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
@@ -153,6 +149,16 @@
 			g_ptr_array_add(not_in_range, g_strdup(key));
 	for (i = 0; i < not_in_range->len; i++)
 		known_keys_remove(keys, g_ptr_array_index(not_in_range, i),
-				  revision, may_return);
+				  revision, hold_ms);
 	g_ptr_array_free(not_in_range, true);
 }
+
+void known_keys_begin_era(struct known_keys *keys)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, keys->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct entry *)value)->revision = 0;
+}
--- a/src/kv/known_keys.h
+++ b/src/kv/known_keys.h
@@ -29,16 +29,20 @@
 /**
  * Applies a removal; one older than the key is ignored.
  *
- * @param may_return whether the key may have expired during an outage of the
- * store. It is then reported as missing, and removed two seconds later unless
- * it is written again.
+ * @param hold_ms if not 0, the key may have expired during an outage of the
+ * store or be lost with its last changes. It is then reported as missing, and
+ * removed after this time unless it is written again.
  */
 void known_keys_remove(struct known_keys *keys, const char *key,
-		       uint64_t revision, bool may_return);
+		       uint64_t revision, uint32_t hold_ms);
 
 /** Begins a range; keys that are not put until its end are removed then. */
 void known_keys_begin_range(struct known_keys *keys);
 void known_keys_end_range(struct known_keys *keys, uint64_t revision,
-			  bool may_return);
+			  uint32_t hold_ms);
+
+/** Forgets the revisions of all keys, which belong to an earlier era of the
+ * store, but not the keys. A range must follow. */
+void known_keys_begin_era(struct known_keys *keys);
 
 #endif
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -33,6 +33,7 @@
 	struct event *timeout;
 	struct evbuffer *body;
 	uint16_t status;
+	uint64_t era; /* see kv_channel_era() */
 	bool keep_alive;
 	bool is_compressed;  /* the response in progress is */
 	uint32_t timeout_ms; /* of the call in progress */
@@ -87,6 +88,7 @@
 	struct kv_channel *channel = context;
 
 	channel->status = head->status;
+	channel->era = kv_decode_era(head);
 	channel->keep_alive = head->keep_alive;
 	channel->is_compressed =
 		http_head_has_token(head, "Content-Encoding", COMPRESS_CODING);
@@ -181,6 +183,11 @@
 	evbuffer_drain(channel->body, evbuffer_get_length(channel->body));
 }
 
+uint64_t kv_channel_era(const struct kv_channel *channel)
+{
+	return channel->era;
+}
+
 bool kv_channel_is_busy(const struct kv_channel *channel)
 {
 	return channel->done != NULL;
@@ -197,6 +204,7 @@
 	channel->done = done;
 	channel->context = context;
 	channel->status = KV_STATUS_NONE;
+	channel->era = 0;
 	evbuffer_drain(channel->body, evbuffer_get_length(channel->body));
 	channel->timeout_ms = timeout_ms;
 	channel->sent_ms = clock_now_ms(&clock_system);
--- a/src/kv/kv_client.h
+++ b/src/kv/kv_client.h
@@ -50,6 +50,13 @@
 /** Cancels the call in progress, without `done`, and disconnects. */
 void kv_channel_cancel(struct kv_channel *channel);
 
+/**
+ * @return the store's era according to the last response; 0: not given. It
+ * rises each time the store comes back from a copy: revisions of different eras
+ * cannot be compared.
+ */
+uint64_t kv_channel_era(const struct kv_channel *channel);
+
 /** @return whether a call is in progress. */
 bool kv_channel_is_busy(const struct kv_channel *channel);
 
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -72,6 +72,9 @@
 	struct feed *feed;
 	struct event *retry_timer;
 	struct known_keys *keys;
+	uint64_t era;	      /* of the store; 0: unknown */
+	int64_t era_began_ms; /* of a later era than the first; -1: none */
+	uint32_t rewrite_hold_ms;
 	uint64_t revision; /* watches continue from it */
 	char *last_key;	   /* of the previous page; NULL: first page */
 	bool started;
@@ -147,6 +150,51 @@
 				now_ms(m) - m->outage_end_ms < REREGISTRATION_MS);
 }
 
+/* @return how long a key that was removed may come back, see
+ * known_keys_remove(). */
+static uint32_t removal_hold_ms(const struct mirror *m)
+{
+	if (m->era_began_ms >= 0 &&
+	    now_ms(m) - m->era_began_ms < m->rewrite_hold_ms)
+		return m->rewrite_hold_ms;
+	return had_recent_outage(m) ? REREGISTRATION_MS : 0;
+}
+
+enum era_check { ERA_SAME, ERA_NEWER, ERA_OLDER };
+
+/* Compares the era of the last response with the known one. In a newer one,
+ * revisions begin anew, and all keys must be read again. */
+static enum era_check check_era(struct mirror *m)
+{
+	uint64_t era = source_era(m->source);
+	uint64_t known = m->era;
+
+	if (!era || era == known)
+		return ERA_SAME;
+	if (era < known) {
+		log_info("store",
+			 "response of an earlier era is ignored prefix=%s "
+			 "era=%" PRIu64 " known=%" PRIu64,
+			 m->prefix, era, known);
+		return ERA_OLDER;
+	}
+	m->era = era;
+	feed_begin_era(m->feed, era);
+	if (!known)
+		return ERA_SAME;
+	log_warn("store",
+		 "store has come back from a copy, reading all keys again "
+		 "prefix=%s era=%" PRIu64 " known=%" PRIu64 " revision=%" PRIu64,
+		 m->prefix, era, known, m->revision);
+	m->era_began_ms = now_ms(m);
+	m->revision = 0;
+	m->synced = false;
+	known_keys_begin_era(m->keys);
+	if (m->events->new_era)
+		m->events->new_era(m->context, era);
+	return ERA_NEWER;
+}
+
 static bool is_store_suspect(const struct mirror *m)
 {
 	return m->store_unreachable ||
@@ -194,6 +242,7 @@
 		     size_t bytes)
 {
 	struct mirror *m = context;
+	enum era_check era;
 	struct kv_page page;
 	size_t i;
 
@@ -202,6 +251,21 @@
 			handle_failure(m, "range", status);
 		return;
 	}
+	era = check_era(m);
+	if (era == ERA_NEWER && m->last_key) {
+		/* the first pages are of the earlier era */
+		kv_page_clear(&page);
+		free(m->last_key);
+		m->last_key = NULL;
+		send_next_call(m);
+		return;
+	}
+	if (era == ERA_OLDER) {
+		kv_page_clear(&page);
+		if (!handle_relay_failure(m, status))
+			handle_failure(m, "range", status);
+		return;
+	}
 	/* an outdated relay would revert newer changes */
 	if (source_uses_relay(m->source) && page.current_revision < m->revision) {
 		kv_page_clear(&page);
@@ -221,7 +285,7 @@
 		m->last_key = strdup(page.items[page.item_count - 1].key);
 	kv_page_clear(&page);
 	if (!m->last_key) {
-		known_keys_end_range(m->keys, m->revision, had_recent_outage(m));
+		known_keys_end_range(m->keys, m->revision, removal_hold_ms(m));
 		m->synced = true;
 		m->may_have_missed_events = false;
 		feed_advance(m->feed, m->revision,
@@ -239,11 +303,25 @@
 		     size_t bytes)
 {
 	struct mirror *m = context;
+	enum era_check era;
 	struct kv_page page;
 	uint32_t batch_ms;
 	size_t i;
 
 	m->watch_in_progress = false;
+	era = status == KV_STATUS_OK || status == KV_STATUS_HISTORY_GONE
+		      ? check_era(m)
+		      : ERA_SAME;
+	if (era == ERA_NEWER) {
+		record_response(m);
+		send_next_call(m);
+		return;
+	}
+	if (era == ERA_OLDER) {
+		if (!handle_relay_failure(m, status))
+			handle_failure(m, "watch", status);
+		return;
+	}
 	if (status == KV_STATUS_HISTORY_GONE) {
 		record_response(m);
 		log_info("store",
@@ -269,7 +347,7 @@
 
 		if (item->removed)
 			known_keys_remove(m->keys, item->key, item->revision,
-					  had_recent_outage(m));
+					  removal_hold_ms(m));
 		else
 			known_keys_put(m->keys, item);
 	}
@@ -356,6 +434,8 @@
 	m->batch_ms = batch_ms;
 	m->watch_wait_ms = WATCH_WAIT_MAX_MS;
 	m->relay_wait_until_ms = -1;
+	m->era_began_ms = -1;
+	m->rewrite_hold_ms = REREGISTRATION_MS;
 	m->source = source_new(base, clock, store, m->prefix);
 	m->feed = feed_new(prefix);
 	m->keys = known_keys_new(base, clock, m->feed, events, context);
@@ -383,6 +463,11 @@
 			       history_ms / 100 * WATCH_WAIT_HISTORY_PERCENT);
 }
 
+void mirror_set_rewrite_hold(struct mirror *m, uint32_t hold_ms)
+{
+	m->rewrite_hold_ms = hold_ms;
+}
+
 void mirror_allow_stale_start(struct mirror *m, uint32_t count, uint32_t pause_ms)
 {
 	m->stale_ranges = count;
--- a/src/kv/mirror.h
+++ b/src/kv/mirror.h
@@ -27,6 +27,9 @@
 	 * follows within two seconds, if its writer is still running, or
 	 * `removed`. May be NULL. */
 	void (*missing)(void *context, const char *key);
+	/** The store has come back from a copy, without its last changes and
+	 * leases. May be NULL. */
+	void (*new_era)(void *context, uint64_t era);
 	/** All keys and events of a range or watch are applied. */
 	void (*synced)(void *context);
 };
@@ -74,6 +77,12 @@
 void mirror_allow_stale_start(struct mirror *mirror, uint32_t count,
 			      uint32_t pause_ms);
 
+/**
+ * Sets how long keys are kept that are missing after the store has come back
+ * from a copy; their writers write them again. Two seconds if not set.
+ */
+void mirror_set_rewrite_hold(struct mirror *mirror, uint32_t hold_ms);
+
 /** Cancels the call in progress and reads the complete range again. */
 void mirror_resync(struct mirror *mirror);
 
--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -17,12 +17,15 @@
 /* Delay after a failed call. */
 #define RETRY_MS 500
 #define CALL_TIMEOUT_MS 900
+/* All VMs register again when the store has come back from a copy. */
+#define NEW_ERA_SPREAD_MS 500
 
 struct presence {
 	struct kv_channel *channel;
 	struct event *timer;
 	char *key;
 	char *value;
+	uint64_t era; /* of the store, in which the lease was granted; 0: unknown */
 	uint64_t lease; /* 0: none */
 	uint32_t renew_ms;
 	bool key_written; /* the key is bound to the lease */
@@ -49,6 +52,38 @@
 	p->events->store_unreachable(p->context);
 }
 
+/* Ends the registration of an earlier era. @return whether there was one. */
+static bool begin_era(struct presence *p, uint64_t era)
+{
+	uint64_t known = p->era;
+
+	if (era <= known)
+		return false;
+	p->era = era;
+	if (!known || p->withdrawn)
+		return false;
+	log_warn("presence",
+		 "store has come back from a copy, registering again "
+		 "era=%" PRIu64 " known=%" PRIu64 " lease=%" PRIu64,
+		 era, known, p->lease);
+	p->lease = 0;
+	p->key_written = false;
+	timer_start(p->timer, g_random_int_range(0, NEW_ERA_SPREAD_MS));
+	return true;
+}
+
+/* @return whether the call that has ended belongs to a registration that was
+ * given up meanwhile. */
+static bool is_given_up(struct presence *p)
+{
+	if (begin_era(p, kv_channel_era(p->channel)))
+		return true;
+	if (p->lease)
+		return false;
+	timer_start(p->timer, 0);
+	return true;
+}
+
 static void on_key_written(void *context, uint16_t status, const char *body,
 			   size_t bytes)
 {
@@ -56,6 +91,8 @@
 
 	(void)body;
 	(void)bytes;
+	if (is_given_up(p))
+		return;
 	p->key_written = status == KV_STATUS_OK;
 	record_result(p, p->key_written, "put", status);
 	if (status == KV_STATUS_NOT_FOUND)
@@ -75,8 +112,9 @@
 		       size_t bytes)
 {
 	struct presence *p = context;
+	uint64_t era = kv_channel_era(p->channel);
 	uint32_t ttl_ms;
-	bool granted = status == KV_STATUS_OK &&
+	bool granted = (!era || era >= p->era) && status == KV_STATUS_OK &&
 		       kv_decode_lease(body, bytes, &p->lease, &ttl_ms);
 
 	record_result(p, granted, "lease", status);
@@ -85,6 +123,7 @@
 		timer_start(p->timer, RETRY_MS);
 		return;
 	}
+	p->era = MAX(p->era, era);
 	log_info("presence", "lease granted lease=%" PRIu64 " ttl_ms=%" PRIu32,
 		 p->lease, ttl_ms);
 	write_key(p);
@@ -98,6 +137,8 @@
 	(void)body;
 	(void)bytes;
 	record_result(p, status == KV_STATUS_OK, "keep", status);
+	if (is_given_up(p))
+		return;
 	if (status == KV_STATUS_NOT_FOUND) {
 		log_warn("presence",
 			 "lease expired, requesting a new one lease=%" PRIu64,
@@ -175,6 +216,11 @@
 	return p;
 }
 
+void presence_on_new_era(struct presence *p, uint64_t era)
+{
+	begin_era(p, era);
+}
+
 void presence_set_renew_interval(struct presence *p, uint32_t renew_ms)
 {
 	p->renew_ms = renew_ms;
--- a/src/kv/presence.h
+++ b/src/kv/presence.h
@@ -38,6 +38,13 @@
 			      const struct presence_events *events,
 			      void *context);
 
+/**
+ * Reports that the store has come back from a copy, which may lack the lease or
+ * the key: registers again, at a random time within half a second, because all
+ * VMs do.
+ */
+void presence_on_new_era(struct presence *presence, uint64_t era);
+
 /** Sets the interval between renewals; a shorter one detects an outage of the
  * store sooner. */
 void presence_set_renew_interval(struct presence *presence, uint32_t renew_ms);
--- a/src/kv/relay.c
+++ b/src/kv/relay.c
@@ -33,6 +33,7 @@
 /* The last encoded body, cached because most VMs request the same. */
 struct response {
 	bool valid;
+	uint64_t era;
 	bool is_watch;
 	bool compressed;
 	uint64_t since_revision; /* of the request */
@@ -54,17 +55,21 @@
 	struct event *deadline;
 	bool is_watch;
 	uint64_t revision; /* watch only */
+	uint64_t era;	   /* of `revision` */
 };
 
 /* Encodes the body unless the cached one fits. */
-static void encode_response(struct response *response, struct kv_page *page,
-			    bool is_watch, uint64_t since_revision)
+static void encode_response(struct response *response, uint64_t era,
+			    struct kv_page *page, bool is_watch,
+			    uint64_t since_revision)
 {
-	if (response->valid && response->is_watch == is_watch &&
+	if (response->valid && response->era == era &&
+	    response->is_watch == is_watch &&
 	    response->since_revision == since_revision &&
 	    response->revision == page->current_revision)
 		return;
 	response->valid = true;
+	response->era = era;
 	response->is_watch = is_watch;
 	response->since_revision = since_revision;
 	response->revision = page->current_revision;
@@ -84,26 +89,30 @@
 			  bool is_watch, uint64_t since_revision)
 {
 	struct response *response = &owner->response;
+	GString *headers = g_string_new(NULL);
 	struct evbuffer *body;
 
 	counter_add(COUNTER_RELAY_ANSWERS, 1);
+	kv_encode_era(headers, feed_era(owner->feed));
 	if (result == FEED_STALE || result == FEED_HISTORY_GONE) {
 		responder_reply(request,
 				result == FEED_HISTORY_GONE
 					? KV_STATUS_HISTORY_GONE
 					: KV_STATUS_UNAVAILABLE,
-				NULL, NULL);
+				headers->str, NULL);
+		g_string_free(headers, true);
 		return;
 	}
-	encode_response(response, page, is_watch, since_revision);
+	encode_response(response, feed_era(owner->feed), page, is_watch,
+			since_revision);
 	free(page->items);
 	body = evbuffer_new();
 	evbuffer_add_buffer_reference(body, response->body);
-	responder_reply(request, KV_STATUS_OK,
-			response->compressed
-				? CONTENT_TYPE_JSON CONTENT_ENCODING_DEFLATE
-				: CONTENT_TYPE_JSON,
-			body);
+	g_string_append(headers, response->compressed
+					 ? CONTENT_TYPE_JSON CONTENT_ENCODING_DEFLATE
+					 : CONTENT_TYPE_JSON);
+	responder_reply(request, KV_STATUS_OK, headers->str, body);
+	g_string_free(headers, true);
 	evbuffer_free(body);
 }
 
@@ -119,9 +128,13 @@
 	waiting_read_free(context);
 }
 
+/* @param era of the revision. */
 static enum feed_result read_feed(const struct relay_feed *owner, bool is_watch,
-				  uint64_t revision, struct kv_page *page)
+				  uint64_t revision, uint64_t era,
+				  struct kv_page *page)
 {
+	if (is_watch && era != feed_era(owner->feed))
+		return FEED_HISTORY_GONE;
 	return is_watch ? feed_since(owner->feed, revision, page)
 			: feed_all(owner->feed, page);
 }
@@ -147,8 +160,8 @@
 {
 	struct waiting_read *read = context;
 	struct kv_page page;
-	enum feed_result result =
-		read_feed(read->owner, read->is_watch, read->revision, &page);
+	enum feed_result result = read_feed(read->owner, read->is_watch,
+					    read->revision, read->era, &page);
 
 	(void)fd;
 	(void)what;
@@ -164,7 +177,8 @@
 		struct waiting_read *read = link->data;
 		struct kv_page page;
 		enum feed_result result =
-			read_feed(owner, read->is_watch, read->revision, &page);
+			read_feed(owner, read->is_watch, read->revision,
+				  read->era, &page);
 
 		link = link->next;
 		if (!must_wait(owner, result))
@@ -182,6 +196,7 @@
 	read->request = request;
 	read->is_watch = call->is_watch;
 	read->revision = call->revision;
+	read->era = feed_era(owner->feed);
 	read->deadline = evtimer_new(relay->base, on_deadline, read);
 	request->on_disconnect = on_requester_gone;
 	request->context = read;
@@ -216,7 +231,8 @@
 		responder_reply(request, 404, NULL, NULL);
 		return;
 	}
-	result = read_feed(owner, read.is_watch, read.revision, &page);
+	result = read_feed(owner, read.is_watch, read.revision,
+			   feed_era(owner->feed), &page);
 	if (must_wait(owner, result))
 		add_waiting_read(relay, owner, request, &read,
 				 result == FEED_NO_CHANGES
--- a/src/kv/source.c
+++ b/src/kv/source.c
@@ -107,6 +107,11 @@
 	source->retry_at_ms = 0;
 }
 
+uint64_t source_era(const struct source *source)
+{
+	return kv_channel_era(source->use_relay ? source->relay : source->store);
+}
+
 bool source_is_busy(const struct source *source)
 {
 	return kv_channel_is_busy(source->store) ||
--- a/src/kv/source.h
+++ b/src/kv/source.h
@@ -48,6 +48,10 @@
 /** Allows the relay to be selected again at once. */
 void source_retry_relay(struct source *source);
 
+/** @return the store's era according to the last response of the selected
+ * server, see kv_channel_era(). */
+uint64_t source_era(const struct source *source);
+
 /** @return whether a call is in progress. */
 bool source_is_busy(const struct source *source);
 
--- a/src/proxy/crash.c
+++ b/src/proxy/crash.c
@@ -21,7 +21,9 @@
 /* Lifetime of a report; longer than callers keep retrying. */
 #define REPORT_TTL_MS 120000
 #define STORE_CALL_TIMEOUT_MS 1000
-#define PENDING_REPORTS_MAX 16
+#define REPORTS_MAX 16
+/* Delay before a report is written again after a failed call. */
+#define REPORT_RETRY_MS 1000
 /* Delay before a crash is evaluated. If more than SERVERS_DOWN_MAX servers went
  * down within this time of it, the cause is a failure domain or a rack, not a
  * request. */
@@ -43,7 +45,9 @@
 	struct kv_channel *channel;
 	struct quarantine quarantine;
 	GQueue probes;
-	GQueue reports;		/* keys yet to be written */
+	GQueue reports; /* keys yet to be written */
+	GQueue written; /* keys that the store has acknowledged */
+	struct event *retry_timer;
 	uint64_t lease;		/* 0: none */
 	int64_t lease_until_ms; /* then a new lease is requested */
 	int64_t probe_second;	/* second in which probe_count is counted */
@@ -74,7 +78,13 @@
 			 status);
 	if (status == KV_STATUS_NOT_FOUND)
 		watch->lease = 0;
-	g_free(g_queue_pop_head(&watch->reports));
+	if (status != KV_STATUS_OK) {
+		timer_start(watch->retry_timer, REPORT_RETRY_MS);
+		return;
+	}
+	g_queue_push_tail(&watch->written, g_queue_pop_head(&watch->reports));
+	if (g_queue_get_length(&watch->written) > REPORTS_MAX)
+		g_free(g_queue_pop_head(&watch->written));
 	send_report(watch);
 }
 
@@ -88,7 +98,7 @@
 	    !kv_decode_lease(body, bytes, &watch->lease, &ttl_ms)) {
 		log_warn("crash", "no lease for crash reports status=%u", status);
 		watch->lease = 0;
-		g_free(g_queue_pop_head(&watch->reports));
+		timer_start(watch->retry_timer, REPORT_RETRY_MS);
 		return;
 	}
 	watch->lease_until_ms = proxy_now_ms(watch->proxy) + ttl_ms / 2;
@@ -113,6 +123,27 @@
 			on_report_written, watch);
 }
 
+static void on_retry_timer(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	send_report(context);
+}
+
+void crash_on_new_era(struct crash_watch *watch)
+{
+	char *key;
+
+	watch->lease = 0;
+	while ((key = g_queue_pop_head(&watch->written))) {
+		if (g_queue_get_length(&watch->reports) < REPORTS_MAX)
+			g_queue_push_tail(&watch->reports, key);
+		else
+			g_free(key);
+	}
+	send_report(watch);
+}
+
 static void record_crash(struct crash_watch *watch, uint64_t fingerprint,
 			 const char *server_id)
 {
@@ -165,7 +196,7 @@
 		 "fingerprint=%016" PRIx64,
 		 probe->server->id, probe->fingerprint);
 	record_crash(watch, probe->fingerprint, probe->server->id);
-	if (g_queue_get_length(&watch->reports) < PENDING_REPORTS_MAX)
+	if (g_queue_get_length(&watch->reports) < REPORTS_MAX)
 		g_queue_push_tail(&watch->reports,
 				  g_strdup_printf(CRASH_KEY_PREFIX "%016" PRIx64
 								   "/%s",
@@ -279,6 +310,7 @@
 		return NULL;
 	watch->proxy = proxy;
 	watch->channel = kv_channel_new(proxy->base, store, KV_SERVER_STORE);
+	watch->retry_timer = evtimer_new(proxy->base, on_retry_timer, watch);
 	return watch;
 }
 
@@ -289,6 +321,8 @@
 	while (!g_queue_is_empty(&watch->probes))
 		probe_free(g_queue_peek_head(&watch->probes));
 	g_queue_clear_full(&watch->reports, g_free);
+	g_queue_clear_full(&watch->written, g_free);
+	event_free(watch->retry_timer);
 	kv_channel_free(watch->channel);
 	free(watch);
 }
--- a/src/proxy/crash.h
+++ b/src/proxy/crash.h
@@ -33,6 +33,9 @@
  * prefix. */
 void crash_apply_report(struct crash_watch *watch, const char *key);
 
+/** The store has come back from a copy: writes this VM's reports again. */
+void crash_on_new_era(struct crash_watch *watch);
+
 /** @return whether the request is refused because it crashed servers. */
 bool crash_is_request_refused(const struct crash_watch *watch,
 			      uint64_t fingerprint);
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -38,6 +38,10 @@
  * time for a lease, the key, and the batch delay. */
 #define RELAY_REGISTRATION_WAIT_MS 1500
 
+/* How long an evacuation is kept that is missing after the store has come back
+ * from a copy: the operator writes it again. */
+#define OPERATOR_REWRITE_HOLD_MS 5000
+
 /* Ranges of the list of VMs that may be some seconds old: one shows the relay
  * to a VM that starts later; at the first start of the fleet, the second one
  * shows the VMs that started together. */
@@ -273,6 +277,16 @@
 		timer_start(store_sync->start_timer, RELAY_REGISTRATION_WAIT_MS);
 }
 
+/* The list of VMs is read by every VM, so it shows a new era to each of them. */
+static void on_fleet_new_era(void *context, uint64_t era)
+{
+	struct proxy *proxy = ((struct store_sync *)context)->proxy;
+
+	if (proxy->presence)
+		presence_on_new_era(proxy->presence, era);
+	crash_on_new_era(proxy->crashes);
+}
+
 static const struct mirror_events operator_events = {
 	.put = on_operator_put,
 	.removed = on_operator_removed,
@@ -287,6 +301,7 @@
 static const struct mirror_events fleet_events = {
 	.put = on_fleet_put,
 	.removed = on_fleet_removed,
+	.new_era = on_fleet_new_era,
 	.synced = on_fleet_synced,
 };
 
@@ -315,6 +330,8 @@
 	mirror_set_history(store_sync->operator_keys, history_ms);
 	mirror_set_history(store_sync->server_keys, history_ms);
 	mirror_set_history(store_sync->fleet_keys, history_ms);
+	mirror_set_rewrite_hold(store_sync->operator_keys,
+				OPERATOR_REWRITE_HOLD_MS);
 	mirror_allow_stale_start(store_sync->fleet_keys,
 				 settings->first_start ? STALE_RANGES_FIRST_START
 						       : STALE_RANGES,
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -1,4 +1,4 @@
-#include "platform_kv.h"
+#include "platform_kv_internal.h"
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -15,41 +15,7 @@
 #define EVENTS_MAX 10000
 #define PAGE_ITEMS_MAX 50
 #define JSON_TYPE "Content-Type: application/json\r\n"
-
-struct item {
-	char *value; /* base64 */
-	uint64_t revision;
-	uint64_t lease;
-};
-
-struct lease {
-	struct platform_kv *kv;
-	uint64_t id;
-	uint32_t ttl_ms;
-	struct event *timer;
-};
-
-struct watch {
-	struct platform_kv *kv;
-	struct responder_request *request;
-	char *prefix;
-	uint64_t after_revision;
-	struct event *timer;
-};
-
-struct platform_kv {
-	struct event_base *base;
-	GTree *items;	    /* key -> struct item */
-	GHashTable *leases; /* lease ID -> struct lease */
-	GQueue history;	    /* json_t *, oldest first */
-	GQueue watches;
-	uint64_t revision;
-	uint64_t compacted_revision;
-	uint64_t next_lease;
-	uint64_t calls;
-	uint64_t cheap_calls;
-	enum platform_kv_fault fault;
-};
+#define ERA_HEADER "Store-Era: %" PRIu64 "\r\n"
 
 static const char *const fault_names[] = { "sound", "busy", "silent", "reset" };
 
@@ -67,6 +33,11 @@
 	g_free(item);
 }
 
+GTree *items_new(void)
+{
+	return g_tree_new_full(compare_keys, NULL, g_free, item_free);
+}
+
 static void lease_free(gpointer data)
 {
 	struct lease *lease = data;
@@ -80,11 +51,12 @@
 	struct platform_kv *kv = g_new0(struct platform_kv, 1);
 
 	kv->base = base;
-	kv->items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
+	kv->items = items_new();
 	kv->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   lease_free);
 	kv->revision = 1;
 	kv->next_lease = 1000;
+	kv->era = 1;
 	return kv;
 }
 
@@ -94,19 +66,31 @@
 
 	while ((event = g_queue_pop_head(&kv->history)))
 		json_decref(event);
+	platform_kv_discard_copy(kv);
 	g_hash_table_destroy(kv->leases);
 	g_tree_destroy(kv->items);
 	g_free(kv);
 }
 
-static void reply_json(struct responder_request *request, uint16_t status,
-		       json_t *value)
+static void reply_status(struct platform_kv *kv,
+			 struct responder_request *request, uint16_t status)
+{
+	char headers[64];
+
+	g_snprintf(headers, sizeof(headers), ERA_HEADER, kv->era);
+	responder_reply(request, status, headers, NULL);
+}
+
+static void reply_json(struct platform_kv *kv, struct responder_request *request,
+		       uint16_t status, json_t *value)
 {
 	char *text = json_dumps(value, JSON_COMPACT);
 	struct evbuffer *body = evbuffer_new();
+	char headers[128];
 
 	evbuffer_add(body, text, strlen(text));
-	responder_reply(request, status, JSON_TYPE, body);
+	g_snprintf(headers, sizeof(headers), JSON_TYPE ERA_HEADER, kv->era);
+	responder_reply(request, status, headers, body);
 	evbuffer_free(body);
 	free(text);
 	json_decref(value);
@@ -142,7 +126,7 @@
 		json_decref(events);
 		return false;
 	}
-	reply_json(watch->request, 200,
+	reply_json(kv, watch->request, 200,
 		   json_pack("{s:o,s:I}", "events", events, "CurrentRev",
 			     (json_int_t)kv->revision));
 	return true;
@@ -266,7 +250,7 @@
 	lease->timer = evtimer_new(kv->base, on_lease_expired, lease);
 	timer_start(lease->timer, lease->ttl_ms);
 	g_hash_table_insert(kv->leases, &lease->id, lease);
-	reply_json(request, 200,
+	reply_json(kv, request, 200,
 		   json_pack("{s:I,s:I}", "Lease", (json_int_t)lease->id,
 			     "TtlMs", (json_int_t)lease->ttl_ms));
 }
@@ -304,7 +288,7 @@
 	size_t i;
 
 	if (!expectations_match(kv, json_object_get(body, "Expected"))) {
-		reply_json(request, 412, json_pack("{s:[]}", "items"));
+		reply_json(kv, request, 412, json_pack("{s:[]}", "items"));
 		return;
 	}
 	for (i = 0; i < json_array_size(puts); i++) {
@@ -313,7 +297,7 @@
 			json_object_get(row, "Lease"));
 
 		if (lease && !g_hash_table_contains(kv->leases, &lease)) {
-			responder_reply(request, 404, NULL, NULL);
+			reply_status(kv, request, 404);
 			return;
 		}
 		put_base64(kv, json_string_value(json_object_get(row, "Key")),
@@ -322,7 +306,7 @@
 	}
 	for (i = 0; i < json_array_size(removed); i++)
 		remove_key(kv, json_string_value(json_array_get(removed, i)));
-	reply_json(request, 200,
+	reply_json(kv, request, 200,
 		   json_pack("{s:I}", "Revision", (json_int_t)kv->revision));
 	notify_watches(kv);
 }
@@ -363,7 +347,7 @@
 		page.prefix = "";
 	kv->cheap_calls += evhttp_find_header(query, "StaleOk") != NULL;
 	g_tree_foreach(kv->items, collect_item, &page);
-	reply_json(request, 200,
+	reply_json(kv, request, 200,
 		   json_pack("{s:o,s:b,s:I}", "items", page.items, "Truncated",
 			     page.truncated, "CurrentRev",
 			     (json_int_t)kv->revision));
@@ -394,11 +378,12 @@
 	struct watch *watch;
 
 	if (!prefix || !after || !wait_ms) {
-		responder_reply(request, 400, NULL, NULL);
+		reply_status(kv, request, 400);
 		return;
 	}
-	if (strtoull(after, NULL, 10) < kv->compacted_revision) {
-		responder_reply(request, 410, NULL, NULL);
+	if (strtoull(after, NULL, 10) < kv->compacted_revision ||
+	    strtoull(after, NULL, 10) > kv->revision) {
+		reply_status(kv, request, 410);
 		return;
 	}
 	watch = g_new0(struct watch, 1);
@@ -444,14 +429,14 @@
 	if (lease && g_str_has_prefix(target, "/kv-keep/")) {
 		kv->cheap_calls++;
 		timer_start(lease->timer, lease->ttl_ms);
-		reply_json(request, 200,
+		reply_json(kv, request, 200,
 			   json_pack("{s:I}", "TtlMs", (json_int_t)lease->ttl_ms));
 	} else if (lease) {
 		end_lease(kv, lease->id);
-		responder_reply(request, 200, NULL, NULL);
+		reply_status(kv, request, 200);
 	} else if (g_str_has_prefix(target, "/kv-keep/") ||
 		   g_str_has_prefix(target, "/kv-lease-end/")) {
-		responder_reply(request, 404, NULL, NULL);
+		reply_status(kv, request, 404);
 	}
 	if (query_start)
 		evhttp_clear_headers(&query);
@@ -465,7 +450,7 @@
 	kv->calls++;
 	switch (kv->fault) {
 	case PLATFORM_KV_BUSY:
-		responder_reply(request, 503, NULL, NULL);
+		reply_status(kv, request, 503);
 		return;
 	case PLATFORM_KV_SILENT:
 		return;
@@ -502,16 +487,21 @@
 	return false;
 }
 
-void platform_kv_compact(struct platform_kv *kv)
+void discard_history(struct platform_kv *kv, uint64_t revision)
 {
 	json_t *event;
 
 	while ((event = g_queue_pop_head(&kv->history)))
 		json_decref(event);
-	kv->compacted_revision = ++kv->revision;
+	kv->compacted_revision = revision;
 	platform_kv_cut_watches(kv);
 }
 
+void platform_kv_compact(struct platform_kv *kv)
+{
+	discard_history(kv, ++kv->revision);
+}
+
 uint64_t platform_kv_call_count(const struct platform_kv *kv)
 {
 	return kv->calls;
--- a/standin/platform_kv.h
+++ b/standin/platform_kv.h
@@ -45,6 +45,19 @@
 /** Discards the history; watches from an earlier revision get status 410. */
 void platform_kv_compact(struct platform_kv *kv);
 
+/** Takes a copy of the keys, leases and revision, for platform_kv_go_back(). */
+void platform_kv_take_copy(struct platform_kv *kv);
+void platform_kv_discard_copy(struct platform_kv *kv);
+
+/**
+ * Goes back to the copy and begins a new era: what was written since is lost,
+ * leases too, and revisions are given out again. Entries that the operator and
+ * the backend servers wrote must be written again by the test.
+ *
+ * @return false if no copy was taken.
+ */
+bool platform_kv_go_back(struct platform_kv *kv);
+
 /** @return requests received since the start. */
 uint64_t platform_kv_call_count(const struct platform_kv *kv);
 
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -25,6 +25,8 @@
  *     /kill      {"id"}        stops the server, its store entry stays
  *     /fault     {"id", "fault"}; without an ID: of the store
  *     /compact   {}            the store discards its history
+ *     /copy      {}            the store takes a copy of its keys
+ *     /go-back   {}            the store comes back from the copy
  *
  * GET /runs returns the servers that ran each request, GET /late?MS the
  * requests that began on a server more than MS after the store showed it as
@@ -128,6 +130,12 @@
 	if (!strcmp(path, "/fault") && !*get_string(body, "id"))
 		return platform_kv_set_fault(platform->kv,
 					     get_string(body, "fault"));
+	if (!strcmp(path, "/copy")) {
+		platform_kv_take_copy(platform->kv);
+		return true;
+	}
+	if (!strcmp(path, "/go-back"))
+		return platform_kv_go_back(platform->kv);
 	if (!strcmp(path, "/compact")) {
 		platform_kv_compact(platform->kv);
 		return true;
--- a/test/unit/fleet/servers_test.c
+++ b/test/unit/fleet/servers_test.c
@@ -127,6 +127,79 @@
 	servers_free(servers);
 }
 
+static struct server_entry numbered_entry(int64_t start_unix_ms,
+					  int64_t sequence, bool draining)
+{
+	struct server_entry one = entry("s1", start_unix_ms);
+
+	one.sequence = sequence;
+	one.draining = draining;
+	return one;
+}
+
+/* The store comes back from a copy in which the server was still ready. */
+static void older_entry_does_not_end_draining(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry ready = numbered_entry(7, 4, false);
+	struct server_entry draining = numbered_entry(7, 9, true);
+
+	servers_put(servers, &ready);
+	servers_put(servers, &draining);
+	servers_put(servers, &ready);
+	g_assert_true(only_server(servers)->draining);
+	g_assert_false(server_is_usable(only_server(servers)));
+	servers_free(servers);
+}
+
+/* The copy lists a server that has left since. */
+static void server_that_left_does_not_return(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry last = numbered_entry(7, 9, false);
+	struct server_entry next = numbered_entry(7, 10, false);
+	struct server_entry restarted = numbered_entry(8, 1, false);
+
+	servers_put(servers, &last);
+	servers_remove(servers, "s1");
+	servers_put(servers, &last);
+	g_assert_cmpuint(servers_count(servers), ==, 0);
+	/* it writes again itself */
+	servers_put(servers, &next);
+	g_assert_cmpuint(servers_count(servers), ==, 1);
+	servers_remove(servers, "s1");
+	servers_put(servers, &restarted);
+	g_assert_cmpuint(servers_count(servers), ==, 1);
+	servers_free(servers);
+}
+
+/* The copy lists an earlier start of a server, at its former address. */
+static void earlier_start_does_not_replace_a_server(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry restarted = numbered_entry(8, 1, false);
+	struct server_entry earlier = numbered_entry(7, 99, false);
+
+	servers_put(servers, &restarted);
+	servers_put(servers, &earlier);
+	g_assert_cmpint(only_server(servers)->start_unix_ms, ==, 8);
+	servers_free(servers);
+}
+
+static void leaving_ends_with_a_new_start(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry again = numbered_entry(7, 5, false);
+	struct server_entry restarted = numbered_entry(8, 1, false);
+
+	server_record_leaving(only_server(servers));
+	servers_put(servers, &again);
+	g_assert_false(server_is_usable(only_server(servers)));
+	servers_put(servers, &restarted);
+	g_assert_true(server_is_usable(only_server(servers)));
+	servers_free(servers);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -136,5 +209,9 @@
 	ADD_TEST("servers", new_incarnation_starts_without_failures);
 	ADD_TEST("servers", missing_server_is_restored);
 	ADD_TEST("servers", draining_server_is_not_usable);
+	ADD_TEST("servers", older_entry_does_not_end_draining);
+	ADD_TEST("servers", server_that_left_does_not_return);
+	ADD_TEST("servers", earlier_start_does_not_replace_a_server);
+	ADD_TEST("servers", leaving_ends_with_a_new_start);
 	return g_test_run();
 }
--- a/test/unit/kv/mirror_test.c
+++ b/test/unit/kv/mirror_test.c
@@ -14,6 +14,7 @@
 	GHashTable *keys; /* key to value */
 	GHashTable *missing;
 	uint32_t synced;
+	uint64_t era; /* of the last new_era event; 0: none */
 };
 
 static struct clock_manual manual = { 1000 * NS_PER_MS, 1000 };
@@ -51,10 +52,17 @@
 	observed.synced++;
 }
 
+static void on_new_era(void *context, uint64_t era)
+{
+	(void)context;
+	observed.era = era;
+}
+
 static const struct mirror_events events = {
 	.put = on_put,
 	.removed = on_removed,
 	.missing = on_missing,
+	.new_era = on_new_era,
 	.synced = on_synced,
 };
 
@@ -78,6 +86,7 @@
 	observed.missing =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	observed.synced = 0;
+	observed.era = 0;
 	now = clock_from_manual(&manual);
 	mirror = mirror_new(base, &now, &address, "a/", 10, &events, NULL);
 }
@@ -233,6 +242,53 @@
 	teardown();
 }
 
+/* Revisions are given out again after the store went back: a key with a lower
+ * revision than before is newer, and one that is missing may be written again. */
+static void store_goes_back_to_a_copy(void)
+{
+	int i;
+
+	setup();
+	platform_kv_put(kv, "a/kept", "1");
+	platform_kv_take_copy(kv);
+	platform_kv_put(kv, "a/lost", "1");
+	platform_kv_put(kv, "a/rewritten", "1");
+	for (i = 0; i < 10; i++)
+		platform_kv_put(kv, "a/kept", "2");
+	run_ms(100);
+	g_assert_cmpstr(value_of("a/kept"), ==, "2");
+	g_assert_true(platform_kv_go_back(kv));
+	run_ms(300);
+	g_assert_cmpuint(observed.era, ==, 2);
+	g_assert_cmpstr(value_of("a/kept"), ==, "1");
+	g_assert_nonnull(value_of("a/lost"));
+	g_assert_true(g_hash_table_contains(observed.missing, "a/lost"));
+	platform_kv_put(kv, "a/rewritten", "3");
+	run_ms(100);
+	g_assert_cmpstr(value_of("a/rewritten"), ==, "3");
+	g_assert_false(g_hash_table_contains(observed.missing, "a/rewritten"));
+	run_ms(2500);
+	g_assert_null(value_of("a/lost"));
+	g_assert_cmpstr(value_of("a/rewritten"), ==, "3");
+	teardown();
+}
+
+static void missing_keys_are_kept_as_long_as_set(void)
+{
+	setup_stopped();
+	mirror_set_rewrite_hold(mirror, 5000);
+	mirror_start(mirror, false);
+	platform_kv_take_copy(kv);
+	platform_kv_put(kv, "a/lost", "1");
+	run_ms(100);
+	g_assert_true(platform_kv_go_back(kv));
+	run_ms(4500);
+	g_assert_nonnull(value_of("a/lost"));
+	run_ms(1500);
+	g_assert_null(value_of("a/lost"));
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -242,5 +298,7 @@
 	ADD_TEST("mirror", removals_without_an_outage_apply_at_once);
 	ADD_TEST("mirror", first_ranges_may_be_stale);
 	ADD_TEST("mirror", watch_ends_before_the_history);
+	ADD_TEST("mirror", store_goes_back_to_a_copy);
+	ADD_TEST("mirror", missing_keys_are_kept_as_long_as_set);
 	return g_test_run();
 }
--- a/test/unit/kv/relay_test.c
+++ b/test/unit/kv/relay_test.c
@@ -349,6 +349,60 @@
 	teardown();
 }
 
+/* A follower of a relay gets to know that the store went back. */
+static void follower_learns_of_a_new_era(void)
+{
+	setup();
+	platform_kv_take_copy(kv);
+	platform_kv_put(kv, "a/lost", "x");
+	run_ms(100);
+	g_assert_true(follower_has("a/lost"));
+	g_assert_true(platform_kv_go_back(kv));
+	platform_kv_put(kv, "a/new", "x");
+	run_ms(1000);
+	g_assert_true(follower_has("a/new"));
+	run_ms(2500);
+	g_assert_false(follower_has("a/lost"));
+	g_assert_true(follower_has("a/first"));
+	teardown();
+}
+
+/* A relay that was cut off has not heard of the new era: its responses must not
+ * take a follower back. */
+static void relay_of_an_earlier_era_is_not_used(void)
+{
+	struct platform_kv *cut_off_store;
+	struct responder *cut_off_relay;
+	struct sockaddr_in address;
+	char text[32];
+
+	setup();
+	platform_kv_take_copy(kv);
+	g_assert_true(platform_kv_go_back(kv));
+	platform_kv_put(kv, "a/new", "x");
+	run_ms(1000);
+	g_assert_true(follower_has("a/new"));
+	/* as a relay, it responds with the first era and higher revisions */
+	cut_off_store = platform_kv_new(base);
+	platform_kv_put(cut_off_store, "a/first", "1");
+	platform_kv_put(cut_off_store, "a/old", "1");
+	platform_kv_compact(cut_off_store);
+	cut_off_relay = responder_new(base, random_address(text, sizeof(text)),
+				      platform_kv_handle, cut_off_store);
+	g_assert_nonnull(cut_off_relay);
+	g_assert_true(tcp_parse_address(text, &address));
+	mirror_set_relay(follower.mirror, &address);
+	mirror_resync(follower.mirror);
+	run_ms(500);
+	g_assert_true(follower_has("a/new"));
+	g_assert_false(follower_has("a/old"));
+	vm_teardown(&follower);
+	vm_setup(&follower);
+	responder_free(cut_off_relay);
+	platform_kv_free(cut_off_store);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -363,5 +417,7 @@
 	ADD_TEST("relay", relay_change_in_a_callback_sends_one_call);
 	ADD_TEST("relay", cut_watch_of_the_relay_causes_no_calls_of_followers);
 	ADD_TEST("relay", followers_wait_for_a_relay_that_starts);
+	ADD_TEST("relay", follower_learns_of_a_new_era);
+	ADD_TEST("relay", relay_of_an_earlier_era_is_not_used);
 	return g_test_run();
 }
