feat(proxy): pipelined idempotent requests run at once

**Problem** A caller's connection served one request at a time: five requests of 400 ms sent together took 2.0 s, and the time of each ran while it waited unread.

**Solution** Up to 8 requests of a connection (setting `pipelined_requests`) are in progress; responses wait in memory for the ones before them, and no more is read while they exceed 256 KB. Only idempotent requests run ahead; any other waits for its turn, and nothing behind it is read until it is answered. A response that closes the connection is the last: what was behind it was not read. During a shutdown what was read is answered, and the last response closes. Garbage or a head that is too large is rejected after the responses before it.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -19,18 +19,34 @@
 	.idle_timeout_ms = 15000,
 };
 
+/* Responses that wait for an earlier one: no further request is read from a
+ * connection while they exceed this. */
+#define HELD_BYTES_MAX (256 * 1024)
+
+/* One request of a connection. Several idempotent ones may be in progress;
+ * their responses are written in the order of the requests. */
+struct caller_request {
+	struct caller *caller;
+	struct exchange *exchange; /* NULL: the response is complete */
+	struct evbuffer *held;	   /* response that waits for an earlier one */
+	enum response_framing framing;
+	bool is_read;		   /* completely */
+	bool waits_for_turn;	   /* must not run before earlier ones ended */
+	bool wants_continue;	   /* 100 (Continue) is to be sent */
+	bool close_after_response; /* then close the connection */
+};
+
 struct caller {
 	struct proxy *proxy;
 	GList *link; /* element in the proxy's list of callers */
 	struct http_stream *stream;
 	struct event *timer;
-	struct exchange *exchange; /* NULL: no request in progress */
-	enum response_framing framing;
+	GQueue requests; /* struct caller_request, in order of arrival */
 	int64_t idle_since_ms;
-	bool request_complete;	   /* the request was read completely */
-	bool head_started;	   /* at the last timer event */
-	bool close_after_response; /* then close the connection */
-	bool head_written;	   /* the response's head was written */
+	bool head_started; /* at the last timer event */
+	bool reading;	   /* the stream parses the next message */
+	bool advancing;	   /* advance() is on the stack */
+	bool rejected;	   /* the input is no request; nothing more is read */
 };
 
 static const struct caller_limits *get_limits(const struct proxy *proxy)
@@ -38,9 +54,53 @@
 	return proxy->config ? &proxy->config->limits : &default_limits;
 }
 
+static struct caller_request *first_request(const struct caller *caller)
+{
+	return caller->requests.head ? caller->requests.head->data : NULL;
+}
+
+static struct caller_request *last_request(const struct caller *caller)
+{
+	return caller->requests.tail ? caller->requests.tail->data : NULL;
+}
+
+static bool is_first(const struct caller_request *request)
+{
+	return first_request(request->caller) == request;
+}
+
+static struct caller_request *request_new(struct caller *caller)
+{
+	struct caller_request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		return NULL;
+	request->caller = caller;
+	request->held = evbuffer_new();
+	g_queue_push_tail(&caller->requests, request);
+	return request;
+}
+
+static struct evbuffer *get_output(struct caller_request *request)
+{
+	return is_first(request) ? http_stream_output(request->caller->stream)
+				 : request->held;
+}
+
+static void request_free(struct caller_request *request)
+{
+	if (request->exchange)
+		exchange_cancel(request->exchange);
+	evbuffer_free(request->held);
+	free(request);
+}
+
 static void caller_free(struct caller *caller)
 {
-	exchange_cancel(caller->exchange);
+	struct caller_request *request;
+
+	while ((request = g_queue_pop_head(&caller->requests)))
+		request_free(request);
 	g_queue_delete_link(&caller->proxy->callers, caller->link);
 	event_free(caller->timer);
 	free(caller);
@@ -54,20 +114,110 @@
 	timer_start(caller->timer, ms);
 }
 
+static void read_next(struct caller *caller)
+{
+	caller->reading = true;
+	http_stream_read_next(caller->stream);
+}
+
 static void wait_for_request(struct caller *caller)
 {
 	caller->idle_since_ms = proxy_now_ms(caller->proxy);
 	caller->head_started = false;
-	caller->request_complete = false;
-	caller->head_written = false;
 	start_timeout(caller);
+	read_next(caller);
 }
 
-static void close_with_status(struct caller *caller, uint16_t status)
+static size_t count_held_bytes(const struct caller *caller)
 {
-	caller_write_head(caller, status, NULL, FRAMING_CONTENT_LENGTH, 0, true);
-	http_stream_free_lingering(caller->stream);
-	caller_free(caller);
+	const GList *link;
+	size_t bytes = 0;
+
+	for (link = caller->requests.head; link; link = link->next)
+		bytes += evbuffer_get_length(
+			((struct caller_request *)link->data)->held);
+	return bytes;
+}
+
+/* Only idempotent requests are read ahead of responses, and only behind
+ * idempotent ones: what is not read, a caller may send again whatever its kind. */
+static bool may_read_ahead(const struct caller *caller)
+{
+	const struct caller_request *last = last_request(caller);
+
+	return last->is_read && !last->close_after_response &&
+	       !last->waits_for_turn && !caller->proxy->stopping &&
+	       (!last->exchange || exchange_is_idempotent(last->exchange)) &&
+	       caller->requests.length <
+		       caller->proxy->settings->pipelined_requests &&
+	       count_held_bytes(caller) <= HELD_BYTES_MAX;
+}
+
+/* The request has become the first: its response may be written. */
+static void begin_turn(struct caller_request *request)
+{
+	struct evbuffer *out = http_stream_output(request->caller->stream);
+
+	if (request->wants_continue)
+		evbuffer_add_printf(out, "HTTP/1.1 100 Continue\r\n\r\n");
+	request->wants_continue = false;
+	evbuffer_add_buffer(out, request->held);
+	if (request->waits_for_turn) {
+		request->waits_for_turn = false;
+		exchange_process_request(request->exchange);
+	} else if (request->exchange) {
+		exchange_on_output_drained(request->exchange);
+	}
+}
+
+/* Removes requests whose response is complete from the front, and reads the
+ * next one. May free the caller. */
+static void advance(struct caller *caller)
+{
+	struct caller_request *request = first_request(caller);
+
+	caller->advancing = true;
+	while (request && !request->exchange) {
+		bool close = request->close_after_response;
+
+		g_queue_pop_head(&caller->requests);
+		request_free(request);
+		if (close) {
+			http_stream_free_lingering(caller->stream);
+			caller_free(caller);
+			return;
+		}
+		request = first_request(caller);
+		if (request)
+			begin_turn(request);
+	}
+	caller->advancing = false;
+	if (!request)
+		wait_for_request(caller);
+	else if (!caller->reading && may_read_ahead(caller))
+		read_next(caller);
+}
+
+/* Rejects what is not a request, after the responses to earlier requests.
+ * Closes the connection; may free the caller. */
+static void reject(struct caller *caller, uint16_t status)
+{
+	struct caller_request *request = last_request(caller);
+
+	if (!request || request->is_read)
+		request = request_new(caller);
+	else if (!request->exchange)
+		return; /* has its response, which closes the connection */
+	if (!request) {
+		http_stream_abort(caller->stream);
+		caller_free(caller);
+		return;
+	}
+	if (request->exchange)
+		exchange_cancel(request->exchange);
+	request->exchange = NULL;
+	caller_write_head(request, status, NULL, FRAMING_CONTENT_LENGTH, 0, true);
+	advance(caller);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -77,12 +227,12 @@
 
 	(void)fd;
 	(void)what;
-	if (caller->exchange)
+	if (first_request(caller))
 		return;
 	if (http_stream_has_message_begun(caller->stream)) {
 		if (caller->head_started) {
 			log_info("caller", "request head timed out");
-			close_with_status(caller, 408);
+			reject(caller, 408);
 			return;
 		}
 		caller->head_started = true;
@@ -94,61 +244,88 @@
 	start_timeout(caller);
 }
 
+static void process(struct caller_request *request)
+{
+	struct caller *caller = request->caller;
+
+	if (is_first(request) || exchange_is_idempotent(request->exchange)) {
+		caller->advancing = true;
+		exchange_process_request(request->exchange);
+	} else {
+		request->waits_for_turn = true;
+	}
+	advance(caller);
+}
+
 static void on_head(void *context, const struct http_head *head)
 {
 	struct caller *caller = context;
+	struct caller_request *request = request_new(caller);
 
 	evtimer_del(caller->timer);
-	caller->close_after_response = !head->keep_alive;
-	caller->exchange = exchange_begin(caller->proxy, caller, head);
-	if (!caller->exchange) {
-		caller_abort(caller);
+	if (!request) {
+		http_stream_abort(caller->stream);
+		caller_free(caller);
+		return;
+	}
+	request->close_after_response = !head->keep_alive;
+	request->exchange = exchange_begin(caller->proxy, request, head);
+	if (!request->exchange) {
+		caller_abort(request);
 		return;
 	}
-	if (exchange_refuses_body(caller->exchange))
-		exchange_process_request(caller->exchange);
-	else if (http_head_has_token(head, "Expect", "100-continue"))
-		evbuffer_add_printf(http_stream_output(caller->stream),
-				    "HTTP/1.1 100 Continue\r\n\r\n");
+	if (exchange_refuses_body(request->exchange)) {
+		process(request);
+	} else if (http_head_has_token(head, "Expect", "100-continue")) {
+		request->wants_continue = true;
+		if (is_first(request))
+			begin_turn(request);
+	}
 }
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
 {
-	struct caller *caller = context;
+	struct caller_request *request = last_request(context);
 
-	if (caller->exchange)
-		exchange_add_body(caller->exchange, data, bytes);
+	if (request && !request->is_read && request->exchange)
+		exchange_add_body(request->exchange, data, bytes);
 }
 
 static void on_complete(void *context)
 {
 	struct caller *caller = context;
+	struct caller_request *request = last_request(caller);
 
-	caller->request_complete = true;
-	if (caller->exchange)
-		exchange_process_request(caller->exchange);
+	caller->reading = false;
+	if (!request)
+		return;
+	request->is_read = true;
+	if (request->exchange)
+		process(request);
 }
 
 static void on_drained(void *context)
 {
-	struct caller *caller = context;
+	const struct caller_request *request = first_request(context);
 
-	if (caller->exchange)
-		exchange_on_output_drained(caller->exchange);
+	if (request && request->exchange)
+		exchange_on_output_drained(request->exchange);
 }
 
 static void on_ended(void *context, enum http_end_reason end)
 {
 	struct caller *caller = context;
 
-	if (!caller->exchange && end == HTTP_END_HEAD_TOO_LARGE) {
-		log_info("caller", "request head too large status=431");
-		close_with_status(caller, 431);
-		return;
-	}
-	if (!caller->exchange && end == HTTP_END_INVALID) {
-		log_info("caller", "malformed request status=400");
-		close_with_status(caller, 400);
+	if (end == HTTP_END_HEAD_TOO_LARGE || end == HTTP_END_INVALID) {
+		/* reported again for each piece of input that follows */
+		if (caller->rejected)
+			return;
+		caller->rejected = true;
+		log_info("caller", "%s",
+			 end == HTTP_END_INVALID
+				 ? "malformed request status=400"
+				 : "request head too large status=431");
+		reject(caller, end == HTTP_END_INVALID ? 400 : 431);
 		return;
 	}
 	http_stream_free(caller->stream);
@@ -185,6 +362,7 @@
 	}
 	g_queue_push_tail(&proxy->callers, caller);
 	caller->link = g_queue_peek_tail_link(&proxy->callers);
+	caller->reading = true;
 	wait_for_request(caller);
 }
 
@@ -196,9 +374,10 @@
 		struct caller *caller = link->data;
 
 		link = link->next;
-		if (only_idle && (caller->exchange ||
-				  http_stream_has_message_begun(caller->stream) ||
-				  caller_unsent_bytes(caller)))
+		if (only_idle &&
+		    (first_request(caller) ||
+		     http_stream_has_message_begun(caller->stream) ||
+		     evbuffer_get_length(http_stream_output(caller->stream))))
 			continue;
 		http_stream_free(caller->stream);
 		caller_free(caller);
@@ -215,15 +394,24 @@
 	close_callers(proxy, false);
 }
 
-void caller_write_head(struct caller *caller, uint16_t status,
+/* Whether the connection closes after this response. Requests that were read
+ * behind it are answered first. */
+static bool must_close(const struct caller_request *request, bool close)
+{
+	if (request->close_after_response || close || !request->is_read)
+		return true;
+	return request->caller->proxy->stopping &&
+	       last_request(request->caller) == request;
+}
+
+void caller_write_head(struct caller_request *request, uint16_t status,
 		       struct evbuffer *headers, enum response_framing framing,
 		       uint64_t bytes, bool close)
 {
-	struct evbuffer *out = http_stream_output(caller->stream);
+	struct evbuffer *out = get_output(request);
 
-	caller->head_written = true;
-	caller->framing = framing;
-	caller->close_after_response |= close || caller->proxy->stopping;
+	request->framing = framing;
+	request->close_after_response = must_close(request, close);
 	evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", status,
 			    responder_reason_phrase(status));
 	if (headers)
@@ -233,48 +421,47 @@
 				    bytes);
 	else if (framing == FRAMING_CHUNKED)
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
-	if (caller->close_after_response)
+	if (request->close_after_response)
 		evbuffer_add_printf(out, "Connection: close\r\n");
 	evbuffer_add(out, "\r\n", 2);
 }
 
-void caller_write_body(struct caller *caller, struct evbuffer *body)
+void caller_write_body(struct caller_request *request, struct evbuffer *body)
 {
-	struct evbuffer *out = http_stream_output(caller->stream);
+	struct evbuffer *out = get_output(request);
 	size_t bytes = evbuffer_get_length(body);
 
 	if (!bytes)
 		return;
-	if (caller->framing == FRAMING_CHUNKED)
+	if (request->framing == FRAMING_CHUNKED)
 		evbuffer_add_printf(out, "%zx\r\n", bytes);
 	evbuffer_add_buffer(out, body);
-	if (caller->framing == FRAMING_CHUNKED)
+	if (request->framing == FRAMING_CHUNKED)
 		evbuffer_add(out, "\r\n", 2);
 }
 
-void caller_end_response(struct caller *caller)
+void caller_end_response(struct caller_request *request)
 {
-	if (caller->framing == FRAMING_CHUNKED && caller->exchange)
-		evbuffer_add(http_stream_output(caller->stream), "0\r\n\r\n", 5);
-	caller->exchange = NULL;
-	/* the unread rest of a body must not be parsed as the next request */
-	if (caller->close_after_response || !caller->request_complete) {
-		http_stream_free_lingering(caller->stream);
-		caller_free(caller);
-		return;
-	}
-	wait_for_request(caller);
-	http_stream_read_next(caller->stream);
+	struct caller *caller = request->caller;
+
+	if (request->framing == FRAMING_CHUNKED)
+		evbuffer_add(get_output(request), "0\r\n\r\n", 5);
+	request->exchange = NULL;
+	request->waits_for_turn = false;
+	if (!caller->advancing)
+		advance(caller);
 }
 
-void caller_abort(struct caller *caller)
+void caller_abort(struct caller_request *request)
 {
-	caller->exchange = NULL;
+	struct caller *caller = request->caller;
+
+	request->exchange = NULL;
 	http_stream_abort(caller->stream);
 	caller_free(caller);
 }
 
-size_t caller_unsent_bytes(const struct caller *caller)
+size_t caller_unsent_bytes(struct caller_request *request)
 {
-	return evbuffer_get_length(http_stream_output(caller->stream));
+	return evbuffer_get_length(get_output(request));
 }
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -7,11 +7,14 @@
 
 /**
  * @file
- * Connections of callers. Reads requests within the configured limits, one at a
- * time on each connection, and writes responses.
+ * Connections of callers. Reads requests within the configured limits and
+ * writes responses in the order of the requests. Idempotent requests that a
+ * caller sends before it got an earlier response run at once, up to a limit;
+ * any other request waits until all before it are answered, and nothing behind
+ * it is read until then.
  */
 
-struct caller;
+struct caller_request;
 
 /** Takes ownership of an accepted connection; closes `fd` on failure. */
 void caller_accept(struct proxy *proxy, int fd);
@@ -37,22 +40,23 @@
  * @param bytes length of the body for FRAMING_CONTENT_LENGTH.
  * @param close whether to close the connection after this response.
  */
-void caller_write_head(struct caller *caller, uint16_t status,
+void caller_write_head(struct caller_request *request, uint16_t status,
 		       struct evbuffer *headers, enum response_framing framing,
 		       uint64_t bytes, bool close);
 
 /** Moves `body` into the response. */
-void caller_write_body(struct caller *caller, struct evbuffer *body);
+void caller_write_body(struct caller_request *request, struct evbuffer *body);
 
 /** Completes the response. Reads the next request or closes the connection;
- * `caller` may be freed. */
-void caller_end_response(struct caller *caller);
+ * `request` may be freed. The requests behind one that closes the connection
+ * are cancelled. */
+void caller_end_response(struct caller_request *request);
 
 /** Resets the connection, so that an incomplete response cannot look complete.
- * Frees `caller`. */
-void caller_abort(struct caller *caller);
+ * Frees `request`, and cancels the other requests of the connection. */
+void caller_abort(struct caller_request *request);
 
 /** @return response bytes not yet written to the socket. */
-size_t caller_unsent_bytes(const struct caller *caller);
+size_t caller_unsent_bytes(struct caller_request *request);
 
 #endif
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -111,7 +111,8 @@
 	return XXH3_64bits(e->id, strlen(e->id));
 }
 
-struct exchange *exchange_begin(struct proxy *proxy, struct caller *caller,
+struct exchange *exchange_begin(struct proxy *proxy,
+				struct caller_request *caller,
 				const struct http_head *head)
 {
 	struct request_meta meta = request_meta_decode(head);
@@ -151,6 +152,11 @@
 	return e;
 }
 
+bool exchange_is_idempotent(const struct exchange *e)
+{
+	return e->refusal_status || e->route->idempotent;
+}
+
 bool exchange_refuses_body(const struct exchange *e)
 {
 	return e->refuses_body;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -11,14 +11,18 @@
  * outcome, and retries or responds.
  */
 
-struct caller;
+struct caller_request;
 struct exchange;
 
 /** Creates an exchange from the request's head. @return NULL if out of
  * memory. */
-struct exchange *exchange_begin(struct proxy *proxy, struct caller *caller,
+struct exchange *exchange_begin(struct proxy *proxy,
+				struct caller_request *caller,
 				const struct http_head *head);
 
+/** @return whether the request may run more than once, or will not run. */
+bool exchange_is_idempotent(const struct exchange *exchange);
+
 /** @return whether the request is refused without reading its body. */
 bool exchange_refuses_body(const struct exchange *exchange);
 
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -14,7 +14,7 @@
 
 struct exchange {
 	struct proxy *proxy;
-	struct caller *caller;
+	struct caller_request *caller;
 	struct config *config;
 	const struct route *route;
 	const struct service *service;
--- a/src/proxy/exchange_response.c
+++ b/src/proxy/exchange_response.c
@@ -60,7 +60,7 @@
 
 void exchange_fail(struct exchange *e, uint16_t status, const char *reason)
 {
-	struct caller *caller = e->caller;
+	struct caller_request *caller = e->caller;
 	struct evbuffer *headers = evbuffer_new();
 	uint32_t delay_ms = retry_after_ms(e);
 
@@ -96,7 +96,7 @@
 void exchange_send_response(struct exchange *e)
 {
 	struct attempt *a = e->attempt;
-	struct caller *caller = e->caller;
+	struct caller_request *caller = e->caller;
 	uint16_t status = attempt_status(a);
 
 	log_response(e, status, "answered");
@@ -126,7 +126,7 @@
 
 void exchange_finish_streaming(struct exchange *e, enum attempt_end end)
 {
-	struct caller *caller = e->caller;
+	struct caller_request *caller = e->caller;
 	bool complete = end == ATTEMPT_ANSWERED || end == ATTEMPT_FAILED;
 
 	log_response(e, attempt_status(e->attempt),
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -43,6 +43,8 @@
 		       "IP:port of the platform's store"),
 	SCHEMA_U32(proxy_settings, store_history_s, "store_history_s", 1, 3600,
 		   20, "s for which the store keeps its history of changes"),
+	SCHEMA_U32(proxy_settings, pipelined_requests, "pipelined_requests", 1, 64,
+		   8, "requests of a caller's connection in progress at a time"),
 	SCHEMA_TEXT(proxy_settings, bounds, "bounds", false, BOUNDS_TEXT_MAX,
 		    "the deployment's bounds, as name=value joined by commas"),
 	SCHEMA_BOOL(proxy_settings, first_start, "first_start", false,
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -21,6 +21,7 @@
 	char *relay_address;
 	char *store_address;
 	uint32_t store_history_s;
+	uint32_t pipelined_requests;
 	char *bounds;
 	char *log_level;
 	bool first_start;
