fix(proxy): exit only when the last response has left the process

The check looked at requests in progress; the response had just been written to the connection's buffer and was dropped with it.

**Solution** The process also waits until no connection of a caller, open or closing, has bytes that the kernel has not taken, within the time to its kill.

The mirror is split in two files; nothing else changed in it.

--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -6,19 +6,12 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "kv/known_keys.h"
-#include "kv/source.h"
+#include "kv/mirror_internal.h"
 #include "net/timer.h"
 
 /* Timeout of a range. The store responds in milliseconds, and within 400 ms if
  * it is a hundred times slower than usual. */
 #define RANGE_TIMEOUT_MS 1500
-/* Longest wait of one watch. Shorter waits cost more calls; a longer one delays
- * the detection of a connection that is silently dead. */
-#define WATCH_WAIT_MAX_MS 20000
-/* Wait of one watch in percent of the time for which the store keeps its
- * history. */
-#define WATCH_WAIT_HISTORY_PERCENT 60
 /* Wait of the first watch while the feed is stale: other VMs may read from the
  * feed once the store has responded to a watch. */
 #define WATCH_WAIT_MIN_MS 1
@@ -29,8 +22,7 @@
  * draining server must get no more requests. */
 #define RELAY_WATCH_WAIT_MS 1000
 #define RELAY_WATCH_SLACK_MS 500
-/* How long a mirror waits for a relay that is still starting. */
-#define RELAY_STARTUP_WAIT_MS 1000
+/* Interval between calls to a relay that is still starting. */
 #define RELAY_STARTUP_RETRY_MS 200
 /* Wait of a watch at the store while the relay fails. Between two watches the
  * relay is tried again. */
@@ -57,50 +49,9 @@
  * second failure in a row. */
 #define OUTAGE_AFTER_MS 800
 
-struct mirror {
-	struct event_base *base;
-	const struct clock *clock;
-	const struct mirror_events *events;
-	void *context;
-	char *prefix;
-	uint32_t batch_ms;
-	uint32_t watch_wait_ms;
-	uint32_t stale_ranges; /* left to read, see mirror_allow_stale_start() */
-	uint32_t stale_pause_ms;
-	bool range_is_stale; /* the range in progress may return old data */
-	struct source *source;
-	struct feed *feed;
-	struct event *retry_timer;
-	struct known_keys *keys;
-	uint64_t era;	      /* of the store; 0: unknown */
-	int64_t era_began_ms; /* of a later era than the first; -1: none */
-	uint32_t rewrite_hold_ms;
-	uint64_t revision; /* watches continue from it */
-	char *last_key;	   /* of the previous page; NULL: first page */
-	bool started;
-	bool synced;
-	bool in_outage;		     /* the store does not respond */
-	bool store_unreachable;	     /* other calls to the store fail */
-	bool may_have_missed_events; /* a range at the store must follow */
-	bool watch_in_progress;
-	uint32_t retry_ms;
-	int64_t last_response_ms;    /* -1: never */
-	int64_t outage_end_ms;	     /* of the last outage; -1: none */
-	bool wait_for_relay;	     /* see mirror_start() */
-	int64_t relay_wait_until_ms; /* -1: not begun */
-	int64_t last_failure_ms; /* at the store; -1: none since a response */
-};
-
-static void send_next_call(struct mirror *m);
-
-static int64_t now_ms(const struct mirror *m)
-{
-	return clock_now_ms(m->clock);
-}
-
 static void record_response(struct mirror *m)
 {
-	int64_t now = now_ms(m);
+	int64_t now = mirror_now_ms(m);
 
 	if (m->in_outage) {
 		m->in_outage = false;
@@ -114,7 +65,7 @@
 
 static void handle_failure(struct mirror *m, const char *call, uint16_t status)
 {
-	int64_t now = now_ms(m);
+	int64_t now = mirror_now_ms(m);
 	uint32_t max_ms =
 		m->store_unreachable ? RETRY_UNREACHABLE_MAX_MS : RETRY_MAX_MS;
 
@@ -146,8 +97,9 @@
 
 static bool had_recent_outage(const struct mirror *m)
 {
-	return m->in_outage || (m->outage_end_ms >= 0 &&
-				now_ms(m) - m->outage_end_ms < REREGISTRATION_MS);
+	return m->in_outage ||
+	       (m->outage_end_ms >= 0 &&
+		mirror_now_ms(m) - m->outage_end_ms < REREGISTRATION_MS);
 }
 
 /* @return how long a key that was removed may come back, see
@@ -155,7 +107,7 @@
 static uint32_t removal_hold_ms(const struct mirror *m)
 {
 	if (m->era_began_ms >= 0 &&
-	    now_ms(m) - m->era_began_ms < m->rewrite_hold_ms)
+	    mirror_now_ms(m) - m->era_began_ms < m->rewrite_hold_ms)
 		return m->rewrite_hold_ms;
 	return had_recent_outage(m) ? REREGISTRATION_MS : 0;
 }
@@ -186,7 +138,7 @@
 		 "store has come back from a copy, reading all keys again "
 		 "prefix=%s era=%" PRIu64 " known=%" PRIu64 " revision=%" PRIu64,
 		 m->prefix, era, known, m->revision);
-	m->era_began_ms = now_ms(m);
+	m->era_began_ms = mirror_now_ms(m);
 	m->revision = 0;
 	m->synced = false;
 	known_keys_begin_era(m->keys);
@@ -199,7 +151,7 @@
 {
 	return m->store_unreachable ||
 	       (m->last_failure_ms >= 0 &&
-		now_ms(m) - m->last_failure_ms < STORE_SUSPECT_MS);
+		mirror_now_ms(m) - m->last_failure_ms < STORE_SUSPECT_MS);
 }
 
 /* Handles a failed call to the relay: retries it later, or switches to the
@@ -210,20 +162,20 @@
 		return false;
 	free(m->last_key);
 	m->last_key = NULL;
-	if (now_ms(m) < m->relay_wait_until_ms) {
+	if (mirror_now_ms(m) < m->relay_wait_until_ms) {
 		timer_start(m->retry_timer, RELAY_STARTUP_RETRY_MS);
 		return true;
 	}
 	/* the relay cannot reach the store: treats it as an outage, in which
 	 * keys may disappear and be written again */
 	if (status == KV_STATUS_UNAVAILABLE)
-		m->outage_end_ms = now_ms(m);
+		m->outage_end_ms = mirror_now_ms(m);
 	if (status == KV_STATUS_UNAVAILABLE && is_store_suspect(m)) {
 		timer_start(m->retry_timer, RELAY_UNAVAILABLE_RETRY_MS);
 		return true;
 	}
 	source_suspend_relay(m->source, status);
-	send_next_call(m);
+	mirror_send_next_call(m);
 	return true;
 }
 
@@ -257,7 +209,7 @@
 		kv_page_clear(&page);
 		free(m->last_key);
 		m->last_key = NULL;
-		send_next_call(m);
+		mirror_send_next_call(m);
 		return;
 	}
 	if (era == ERA_OLDER) {
@@ -296,7 +248,7 @@
 	}
 	/* the callback may have changed the relay, which sends a call */
 	if (!source_is_busy(m->source))
-		send_next_call(m);
+		mirror_send_next_call(m);
 }
 
 static void on_watch(void *context, uint16_t status, const char *body,
@@ -314,7 +266,7 @@
 		      : ERA_SAME;
 	if (era == ERA_NEWER) {
 		record_response(m);
-		send_next_call(m);
+		mirror_send_next_call(m);
 		return;
 	}
 	if (era == ERA_OLDER) {
@@ -329,7 +281,7 @@
 			 "revision=%" PRIu64,
 			 m->prefix, m->revision);
 		m->synced = false;
-		send_next_call(m);
+		mirror_send_next_call(m);
 		return;
 	}
 	if (status != KV_STATUS_OK || !kv_decode_events(body, bytes, &page)) {
@@ -382,7 +334,7 @@
 	source_send(m->source, &call, wait_ms + slack_ms, on_watch, m);
 }
 
-static void send_next_call(struct mirror *m)
+void mirror_send_next_call(struct mirror *m)
 {
 	struct kv_call call;
 
@@ -414,7 +366,7 @@
 	(void)what;
 	free(m->last_key);
 	m->last_key = NULL;
-	send_next_call(m);
+	mirror_send_next_call(m);
 }
 
 struct mirror *mirror_new(struct event_base *base, const struct clock *clock,
@@ -446,34 +398,6 @@
 	return m;
 }
 
-void mirror_start(struct mirror *m, bool wait_for_relay)
-{
-	if (m->started)
-		return;
-	m->started = true;
-	m->wait_for_relay = wait_for_relay;
-	if (wait_for_relay && source_has_relay(m->source))
-		m->relay_wait_until_ms = now_ms(m) + RELAY_STARTUP_WAIT_MS;
-	send_next_call(m);
-}
-
-void mirror_set_history(struct mirror *m, uint32_t history_ms)
-{
-	m->watch_wait_ms = MIN(WATCH_WAIT_MAX_MS,
-			       history_ms / 100 * WATCH_WAIT_HISTORY_PERCENT);
-}
-
-void mirror_set_rewrite_hold(struct mirror *m, uint32_t hold_ms)
-{
-	m->rewrite_hold_ms = hold_ms;
-}
-
-void mirror_allow_stale_start(struct mirror *m, uint32_t count, uint32_t pause_ms)
-{
-	m->stale_ranges = count;
-	m->stale_pause_ms = pause_ms;
-}
-
 void mirror_free(struct mirror *m)
 {
 	if (!m)
@@ -486,72 +410,3 @@
 	free(m->prefix);
 	free(m);
 }
-
-static void cancel_call(struct mirror *m)
-{
-	source_cancel(m->source);
-	evtimer_del(m->retry_timer);
-	m->watch_in_progress = false;
-	free(m->last_key);
-	m->last_key = NULL;
-}
-
-void mirror_resync(struct mirror *m)
-{
-	if (!m->started)
-		return;
-	cancel_call(m);
-	m->synced = false;
-	feed_interrupt(m->feed);
-	send_next_call(m);
-}
-
-void mirror_on_store_unreachable(struct mirror *m)
-{
-	m->store_unreachable = true;
-	if (!m->started || source_uses_relay(m->source))
-		return;
-	feed_interrupt(m->feed);
-	m->may_have_missed_events = true;
-	source_retry_relay(m->source);
-	cancel_call(m);
-	send_next_call(m);
-}
-
-void mirror_on_store_reachable(struct mirror *m)
-{
-	m->store_unreachable = false;
-	if (m->in_outage && evtimer_pending(m->retry_timer, NULL))
-		timer_start(m->retry_timer, 0);
-}
-
-void mirror_set_relay(struct mirror *m, const struct sockaddr_in *relay)
-{
-	const bool watch_in_progress = m->watch_in_progress;
-	const bool was_relay = source_uses_relay(m->source);
-
-	if (!source_set_relay(m->source, relay))
-		return;
-	if (relay && m->wait_for_relay && m->relay_wait_until_ms < 0)
-		m->relay_wait_until_ms = now_ms(m) + RELAY_STARTUP_WAIT_MS;
-	/* a range at the store may finish, a watch would wait for long */
-	if (!watch_in_progress && !was_relay)
-		return;
-	cancel_call(m);
-	send_next_call(m);
-}
-
-struct feed *mirror_feed(struct mirror *m)
-{
-	return m->feed;
-}
-
-int64_t mirror_age_ms(const struct mirror *m)
-{
-	return m->last_response_ms < 0 ? -1 : now_ms(m) - m->last_response_ms;
-}
-
-bool mirror_is_synced(const struct mirror *m)
-{
-	return m->synced;
-}
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -7,6 +7,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "net/http_stream.h"
+#include "net/linger.h"
 #include "net/responder.h"
 #include "net/timer.h"
 #include "proxy/exchange.h"
@@ -384,6 +385,19 @@
 	}
 }
 
+bool callers_have_unsent_bytes(const struct proxy *proxy)
+{
+	const GList *link;
+
+	for (link = proxy->callers.head; link; link = link->next) {
+		const struct caller *caller = link->data;
+
+		if (evbuffer_get_length(http_stream_output(caller->stream)))
+			return true;
+	}
+	return linger_unsent_count() > 0;
+}
+
 void callers_close_idle(struct proxy *proxy)
 {
 	close_callers(proxy, true);
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -36,7 +36,8 @@
 	(void)what;
 	if (age_ms >= CLOSE_IDLE_AFTER_MS)
 		callers_close_idle(proxy);
-	if ((age_ms >= DIRECTORY_CACHE_MS && !proxy->exchanges_in_progress) ||
+	if ((age_ms >= DIRECTORY_CACHE_MS && !proxy->exchanges_in_progress &&
+	     !callers_have_unsent_bytes(proxy)) ||
 	    proxy_now_ms(proxy) >= proxy->exit_deadline_ms) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
 			 age_ms, proxy->exchanges_in_progress);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -41,8 +41,8 @@
 static const char *const endless_starts[] = {
 	[FAULT_ENDLESS_HEAD] = "HTTP/1.1 200 OK\r\nX: ",
 	[FAULT_ENDLESS_BODY] = "HTTP/1.1 200 OK\r\n\r\n",
-	[FAULT_ENDLESS_STAMPED] = "HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\n"
-				  "Request-Id: endless\r\n\r\n",
+	[FAULT_ENDLESS_STAMPED] =
+		"HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\nRequest-Id: endless\r\n\r\n",
 };
 
 struct platform_server {
--- a/test/unit/net/http_stream_test.c
+++ b/test/unit/net/http_stream_test.c
@@ -2,9 +2,11 @@
 
 #include <errno.h>
 #include <event2/buffer.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/linger.h"
 #include "unit/test.h"
 
 #define HEAD_BYTES_MAX 512
@@ -363,9 +365,53 @@
 	g_assert_null(http_head_get(&head, "Host"));
 }
 
+/* A process must not exit while a response is still in its memory. */
+static void unsent_output_of_a_closing_connection_is_counted(void)
+{
+	static char chunk[65536];
+	struct peer peer;
+	int i;
+
+	open_server(&peer);
+	memset(chunk, 'x', sizeof(chunk));
+	for (i = 0; i < 32; i++)
+		evbuffer_add(http_stream_output(peer.stream), chunk,
+			     sizeof(chunk));
+	http_stream_free_lingering(peer.stream);
+	peer.stream = NULL;
+	run_loop(&peer);
+	g_assert_cmpuint(linger_unsent_count(), ==, 1);
+	while (read(peer.fd, chunk, sizeof(chunk)) > 0)
+		run_loop(&peer);
+	g_assert_cmpuint(linger_unsent_count(), ==, 0);
+	close_peer(&peer);
+}
+
+/* The peer closes without reading the rest. */
+static void closed_connection_is_no_longer_counted(void)
+{
+	static char chunk[65536];
+	struct peer peer;
+	int i;
+
+	open_server(&peer);
+	for (i = 0; i < 32; i++)
+		evbuffer_add(http_stream_output(peer.stream), chunk,
+			     sizeof(chunk));
+	http_stream_free_lingering(peer.stream);
+	peer.stream = NULL;
+	run_loop(&peer);
+	close(peer.fd);
+	peer.fd = -1;
+	run_loop(&peer);
+	g_assert_cmpuint(linger_unsent_count(), ==, 0);
+	close_peer(&peer);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
 	ADD_TEST("http_stream", parses_request_sent_byte_by_byte);
 	ADD_TEST("http_stream", pipelined_request_waits_for_next);
 	ADD_TEST("http_stream", reports_close_behind_unread_bytes);
@@ -376,5 +422,7 @@
 	ADD_TEST("http_stream", unexpected_response_bytes_end_the_stream);
 	ADD_TEST("http_stream", interim_responses_are_skipped);
 	ADD_TEST("http_stream", header_names_are_case_insensitive);
+	ADD_TEST("http_stream", unsent_output_of_a_closing_connection_is_counted);
+	ADD_TEST("http_stream", closed_connection_is_no_longer_counted);
 	return g_test_run();
 }
