--- a/soak/main.c
+++ b/soak/main.c
@@ -176,6 +176,9 @@
 	case SOAK_COMPACT:
 		fleet_post_control(fleet, "/compact", "{}");
 		break;
+	case SOAK_STORE_BACK:
+		fleet_post_control(fleet, "/copy", "{}");
+		break;
 	case SOAK_STORE_LINK:
 		fault_proxy_set_mode(event_vm(soak, event)->store_proxy,
 				     event->how);
@@ -221,6 +224,9 @@
 	case SOAK_STORE:
 		fleet_post_control(fleet, "/fault", "{\"fault\":\"sound\"}");
 		break;
+	case SOAK_STORE_BACK:
+		fleet_post_control(fleet, "/go-back", "{\"rewrite\":true}");
+		break;
 	case SOAK_STORE_LINK:
 		fault_proxy_set_mode(event_vm(soak, event)->store_proxy, "pass");
 		break;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -25,6 +25,7 @@
 	SOAK_KILL_ALL, /**< SIGKILL of all entry VMs at once */
 	SOAK_STORE,    /**< store fault; HOW: busy, silent or reset */
 	SOAK_COMPACT,  /**< the store discards its watch history */
+	SOAK_STORE_BACK,  /**< the store comes back from a copy FOR_MS old */
 	SOAK_STORE_LINK,  /**< a VM's connections to the store; HOW: a mode of
 			     fault_proxy_set_mode() */
 	SOAK_SERVER_LINK, /**< the connections to a backend server; HOW: same */
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -7,6 +7,7 @@
 
 #include "base/attributes.h"
 #include "base/log.h"
+#include "net/timer.h"
 #include "platform_kv.h"
 #include "platform_server.h"
 
@@ -26,18 +27,27 @@
  *     /fault     {"id", "fault"}; without an ID: of the store
  *     /compact   {}            the store discards its history
  *     /copy      {}            the store takes a copy of its keys
- *     /go-back   {}            the store comes back from the copy
+ *     /go-back   {"rewrite": true}  the store comes back from the copy; a
+ * second later, operator and servers write again what they wrote since
  *
  * GET /runs returns the servers that ran each request, GET /late?MS the
  * requests that began on a server more than MS after the store showed it as
  * draining, and GET /calls the number of requests to the store.
  */
 
+/* Time after which the operator and the backend servers have written again what
+ * the store lost. */
+#define REWRITE_MS 1000
+
 struct platform {
 	struct event_base *base;
 	struct platform_kv *kv;
-	GHashTable *servers; /* ID -> struct platform_server */
-	GHashTable *runs;    /* request ID -> GPtrArray of server IDs */
+	struct event *rewrite_timer;
+	/* key -> value that the operator wrote last; "": removed */
+	GHashTable *operator_keys;
+	GHashTable *unlisted; /* IDs of servers whose entry was removed */
+	GHashTable *servers;  /* ID -> struct platform_server */
+	GHashTable *runs;     /* request ID -> GPtrArray of server IDs */
 };
 
 static const char *get_string(json_t *body, const char *name)
@@ -70,11 +80,47 @@
 	return true;
 }
 
+static void write_operator_key(struct platform *platform, const char *key,
+			       const char *value)
+{
+	g_hash_table_replace(platform->operator_keys, g_strdup(key),
+			     g_strdup(value));
+	if (*value)
+		platform_kv_put(platform->kv, key, value);
+	else
+		platform_kv_remove(platform->kv, key);
+}
+
+/* Writes again what the store lost when it went back to a copy. */
+static void on_rewrite(evutil_socket_t fd, short what, void *context)
+{
+	struct platform *platform = context;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	(void)fd;
+	(void)what;
+	g_hash_table_iter_init(&iter, platform->operator_keys);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (*(char *)value)
+			platform_kv_put(platform->kv, key, value);
+		else
+			platform_kv_remove(platform->kv, key);
+	}
+	g_hash_table_iter_init(&iter, platform->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		platform_server_publish(value);
+	g_hash_table_iter_init(&iter, platform->unlisted);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		platform_kv_remove(platform->kv, key);
+}
+
 static bool set_config(struct platform *platform, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	platform_kv_put(platform->kv, "op/config", text);
+	write_operator_key(platform, "op/config", text);
 	free(text);
 	return true;
 }
@@ -83,10 +129,8 @@
 {
 	char *key = g_strconcat("op/evacuate/", get_string(body, "domain"), NULL);
 
-	if (json_is_true(json_object_get(body, "on")))
-		platform_kv_put(platform->kv, key, "{}");
-	else
-		platform_kv_remove(platform->kv, key);
+	write_operator_key(platform, key,
+			   json_is_true(json_object_get(body, "on")) ? "{}" : "");
 	g_free(key);
 	return true;
 }
@@ -102,7 +146,7 @@
 	if (!strcmp(path, "/unlist")) {
 		key = g_strconcat("servers/", id, NULL);
 		platform_kv_remove(platform->kv, key);
-		g_free(key);
+		g_hash_table_add(platform->unlisted, key);
 		return true;
 	}
 	if (!server)
@@ -134,8 +178,11 @@
 		platform_kv_take_copy(platform->kv);
 		return true;
 	}
-	if (!strcmp(path, "/go-back"))
+	if (!strcmp(path, "/go-back")) {
+		if (json_is_true(json_object_get(body, "rewrite")))
+			timer_start(platform->rewrite_timer, REWRITE_MS);
 		return platform_kv_go_back(platform->kv);
+	}
 	if (!strcmp(path, "/compact")) {
 		platform_kv_compact(platform->kv);
 		return true;
@@ -242,6 +289,12 @@
 	struct event *stop;
 
 	platform.kv = platform_kv_new(platform.base);
+	platform.rewrite_timer =
+		evtimer_new(platform.base, on_rewrite, &platform);
+	platform.operator_keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	platform.unlisted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	platform.servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)platform_server_free);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -77,7 +77,7 @@
 	char *target;
 };
 
-static void publish_entry(struct platform_server *server)
+void platform_server_publish(struct platform_server *server)
 {
 	char *key = g_strconcat("servers/", server->id, NULL);
 	char *value = g_strdup_printf(
@@ -254,7 +254,7 @@
 		platform_server_free(server);
 		return NULL;
 	}
-	publish_entry(server);
+	platform_server_publish(server);
 	return server;
 }
 
@@ -274,7 +274,7 @@
 void platform_server_drain(struct platform_server *server)
 {
 	server->draining = true;
-	publish_entry(server);
+	platform_server_publish(server);
 	server->drain_published_ms = clock_now_ms(&clock_system);
 }
 
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -44,6 +44,9 @@
 json_t *platform_server_late_runs(const struct platform_server *server,
 				  int64_t bound_ms);
 
+/** Writes the server's store entry again. */
+void platform_server_publish(struct platform_server *server);
+
 /** Publishes that the server is draining; it keeps serving requests. */
 void platform_server_drain(struct platform_server *server);
 
--- a/test/functional/platform_era.sh
+++ b/test/functional/platform_era.sh
@@ -42,7 +42,7 @@
 done >"$OUT/statuses") &
 load=$!
 sleep 0.3
-steer /go-back '{}'
+steer /go-back '{}' # nothing is written again until the operator does
 sleep 1.5
 for vm in e1 e2 e3 e4; do
 	expect "$vm keeps the configuration in force" responds_with 200 $vm /more/1
