feat(ctl): which configuration each entry VM has in force

**Problem** After configurations in quick succession nobody could say under which one each VM answered: the version stood in each VM's metrics and log only.

**Solution** Each VM serves /status on its metrics address: version in force and since when, era of the store, age of the server list, relay, and the registered VMs with their addresses.

--- a/src/ctl/ctl_defs.h
+++ b/src/ctl/ctl_defs.h
@@ -43,6 +43,7 @@
 enum ctl_exit ctl_drain(struct ctl *ctl);
 enum ctl_exit ctl_shift(struct ctl *ctl);
 enum ctl_exit ctl_status(struct ctl *ctl);
+enum ctl_exit ctl_versions(struct ctl *ctl);
 enum ctl_exit ctl_explain(struct ctl *ctl);
 enum ctl_exit ctl_trace(struct ctl *ctl);
 enum ctl_exit ctl_history(struct ctl *ctl);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -47,6 +47,10 @@
 	  false, 3 },
 	{ "status", "", "show entry VMs, versions, backend servers and shifts",
 	  ctl_status, false, true, 0 },
+	{ "versions", "",
+	  "show the configuration in force on each entry VM of the platform; "
+	  "--entry: the metrics address of one of them",
+	  ctl_versions, false, true, 0 },
 	{ "explain", "REQUEST-ID", "show why a request was routed as it was",
 	  ctl_explain, false, true, 1 },
 	{ "trace", "REQUEST-ID FILE...",
--- a/src/fleet/vms.c
+++ b/src/fleet/vms.c
@@ -20,6 +20,7 @@
 
 	free(vm->name);
 	free(vm->address);
+	free(vm->status_address);
 	g_free(vm);
 }
 
@@ -41,11 +42,12 @@
 }
 
 char *vms_encode_entry(const char *address, const char *failure_domain,
-		       const char *relay_address)
+		       const char *relay_address, const char *status_address)
 {
 	json_t *root =
-		json_pack("{s:s,s:s,s:s}", "address", address, "failure_domain",
-			  failure_domain, "relay_address", relay_address);
+		json_pack("{s:s,s:s,s:s,s:s}", "address", address,
+			  "failure_domain", failure_domain, "relay_address",
+			  relay_address, "status_address", status_address);
 	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
 	json_decref(root);
@@ -73,10 +75,12 @@
 	const char *address = NULL;
 	const char *domain = NULL;
 	const char *relay = "";
+	const char *status = "";
 	struct vm *vm;
 
-	if (json_unpack(root, "{s:s,s:s,s?s}", "address", &address,
-			"failure_domain", &domain, "relay_address", &relay) ||
+	if (json_unpack(root, "{s:s,s:s,s?s,s?s}", "address", &address,
+			"failure_domain", &domain, "relay_address", &relay,
+			"status_address", &status) ||
 	    !schema_is_address(address)) {
 		log_warn("vms", "invalid entry of a VM is ignored vm=%s", name);
 		goto out;
@@ -87,6 +91,7 @@
 	vm = g_new0(struct vm, 1);
 	vm->name = strdup(name);
 	vm->address = strdup(address);
+	vm->status_address = strdup(schema_is_address(status) ? status : "");
 	vm->failure_domain = g_intern_string(domain);
 	vm->region = topology_region(vms->topology, domain);
 	vm->hash = XXH3_64bits(name, strlen(name));
--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -23,6 +23,7 @@
 struct vm {
 	char *name;
 	char *address;		    /**< "IP:port" for callers' requests */
+	char *status_address;	    /**< "IP:port" for operators; "": none */
 	const char *failure_domain; /**< interned */
 	const char *region;	    /**< interned; NULL: unknown domain */
 	uint64_t hash;
@@ -38,11 +39,13 @@
 
 /**
  * @param relay_address where this VM serves reads of the store; "": nowhere.
+ * @param status_address where it serves its status and metrics; "": nowhere.
  * @return the JSON text to register for this VM, which the caller frees; NULL
  * on error.
  */
 MUST_USE char *vms_encode_entry(const char *address, const char *failure_domain,
-				const char *relay_address);
+				const char *relay_address,
+				const char *status_address);
 
 /** Adds or replaces a VM; text that is invalid is logged and ignored. */
 void vms_put(struct vms *vms, const char *name, const char *text, size_t bytes);
--- a/src/kv/mirror.h
+++ b/src/kv/mirror.h
@@ -111,6 +111,9 @@
 /** @return time since the last response of store or relay, in ms; -1: none. */
 int64_t mirror_age_ms(const struct mirror *mirror);
 
+/** @return the store's era as last read; 0: unknown. */
+uint64_t mirror_era(const struct mirror *mirror);
+
 /** @return whether the complete range was read and need not be read again. */
 bool mirror_is_synced(const struct mirror *mirror);
 
--- a/src/kv/mirror_control.c
+++ b/src/kv/mirror_control.c
@@ -106,6 +106,11 @@
 				       : mirror_now_ms(m) - m->last_response_ms;
 }
 
+uint64_t mirror_era(const struct mirror *m)
+{
+	return m->era;
+}
+
 bool mirror_is_synced(const struct mirror *m)
 {
 	return m->synced;
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -18,6 +18,7 @@
 #include "proxy/directory.h"
 #include "proxy/pause.h"
 #include "proxy/reload.h"
+#include "proxy/status.h"
 #include "proxy/stop.h"
 #include "proxy/store_sync.h"
 
@@ -51,9 +52,16 @@
 static void handle_metrics(void *context, struct responder_request *request)
 {
 	struct evbuffer *body = evbuffer_new();
-	GString *text = g_string_new(NULL);
+	GString *text;
 
-	(void)context;
+	if (!strcmp(request->head->target, STATUS_PATH)) {
+		status_write(context, body);
+		responder_reply(request, 200,
+				"Content-Type: application/json\r\n", body);
+		evbuffer_free(body);
+		return;
+	}
+	text = g_string_new(NULL);
 	counter_write(text);
 	histogram_write(text);
 	g_string_append(text, "# EOF\n");
@@ -152,8 +160,8 @@
 	proxy->store_sync = store_sync_new(proxy, &store);
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
 	text = vms_encode_entry(settings->request_address,
-				settings->failure_domain,
-				settings->relay_address);
+				settings->failure_domain, settings->relay_address,
+				settings->metrics_address);
 	proxy->presence = presence_new(proxy->base, &store, key, text,
 				       &presence_events, proxy->store_sync);
 	g_free(key);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -47,8 +47,9 @@
 	struct topology topology;
 	const char *region;	    /**< of this VM, interned */
 	const char *failure_domain; /**< of this VM, interned */
-	struct config *config; /**< in force; NULL until the first is read */
-	GHashTable *evacuated; /**< names of failure domains */
+	struct config *config;	 /**< in force; NULL until the first is read */
+	int64_t config_since_ms; /**< when it came in force */
+	GHashTable *evacuated;	 /**< names of failure domains */
 	struct servers *servers;
 	struct vms *vms;
 	struct store_sync *store_sync;
--- /dev/null
+++ b/src/proxy/status.c
@@ -0,0 +1,59 @@
+#include "proxy/status.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "proxy/store_sync.h"
+
+static json_t *encode_vms(const struct proxy *proxy)
+{
+	const GPtrArray *all = vms_all(proxy->vms);
+	json_t *list = json_array();
+	guint i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct vm *vm = g_ptr_array_index(all, i);
+
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s}", "vm",
+						      vm->name, "failure_domain",
+						      vm->failure_domain,
+						      "status_address",
+						      vm->status_address));
+	}
+	return list;
+}
+
+void status_write(const struct proxy *proxy, struct evbuffer *out)
+{
+	const struct config *config = proxy->config;
+	char version[17] = "";
+	json_t *root;
+	char *text;
+
+	if (config)
+		snprintf(version, sizeof(version), "%08" PRIx64, config->version);
+	root = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:o}", "vm",
+			 proxy->settings->name, "failure_domain",
+			 proxy->failure_domain, "version", version, "relay",
+			 store_sync_relay(proxy->store_sync), "version_age_ms",
+			 (json_int_t)(config ? proxy_now_ms(proxy) -
+						       proxy->config_since_ms
+					     : -1),
+			 "store_era",
+			 (json_int_t)store_sync_era(proxy->store_sync),
+			 "servers", (json_int_t)servers_count(proxy->servers),
+			 "servers_age_ms",
+			 (json_int_t)store_sync_servers_age_ms(proxy->store_sync),
+			 "stopping", proxy->stopping, "vms", encode_vms(proxy));
+	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+	if (text)
+		evbuffer_add(out, text, strlen(text));
+	else
+		log_error("status", "cannot encode the status as JSON");
+	free(text);
+	json_decref(root);
+}
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -96,6 +96,7 @@
 	}
 	config_unref(proxy->config);
 	proxy->config = config;
+	proxy->config_since_ms = proxy_now_ms(proxy);
 	counter_add(COUNTER_DOCUMENTS_APPLIED, 1);
 	gauge_set(GAUGE_DOCUMENT_VERSION, (int64_t)config->version);
 	log_info("config",
@@ -446,3 +447,13 @@
 {
 	return mirror_age_ms(store_sync->server_keys);
 }
+
+uint64_t store_sync_era(const struct store_sync *store_sync)
+{
+	return mirror_era(store_sync->operator_keys);
+}
+
+const char *store_sync_relay(const struct store_sync *store_sync)
+{
+	return store_sync->relay_name ? store_sync->relay_name : "";
+}
--- a/src/proxy/store_sync.h
+++ b/src/proxy/store_sync.h
@@ -31,4 +31,10 @@
  * -1: never. */
 int64_t store_sync_servers_age_ms(const struct store_sync *store_sync);
 
+/** @return the store's era as last read with the configuration; 0: unknown. */
+uint64_t store_sync_era(const struct store_sync *store_sync);
+
+/** @return the VM that reads from the store for this one; "": none. */
+const char *store_sync_relay(const struct store_sync *store_sync);
+
 #endif
