fix(platform): numbers from outside are bounded, fewer lines at the start

**Problem** A version "-0000001" was read as the highest there is, so that no later configuration would have come in force. Numbers of the configuration, the bounds and a server's entry were cast to 32 bits unchecked, those of leases and reads cut.

**Solution** A version is eight hexadecimal digits. Changes of servers are logged once the list was read; being cold is logged when it begins.

--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -27,7 +27,8 @@
 	GHashTable *by_id;	/* id to struct server; owns a reference */
 	GHashTable *by_service; /* name to GPtrArray of struct server */
 	GPtrArray *empty_list;
-	GQueue removed; /* struct removal, oldest first */
+	bool logs_changes; /* the list was read once */
+	GQueue removed;	   /* struct removal, oldest first */
 };
 
 /* A server that left the list. */
@@ -205,7 +206,9 @@
 	}
 	server->sequence = entry->sequence;
 	server->load.slots = entry->slots;
-	if (is_new || server->draining != entry->draining || entry->cold_left_ms)
+	if (servers->logs_changes &&
+	    (is_new || server->draining != entry->draining ||
+	     (entry->cold_left_ms && server->cold_until_ms <= now_ms)))
 		log_info("servers",
 			 "server listed server=%s service=%s "
 			 "domain=%s slots=%u draining=%d cold_left_ms=%u "
@@ -232,6 +235,11 @@
 		 server->id, server->service);
 }
 
+void servers_log_changes(struct servers *servers)
+{
+	servers->logs_changes = true;
+}
+
 void servers_remove(struct servers *servers, const char *id)
 {
 	struct server *server = g_hash_table_lookup(servers->by_id, id);
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -58,6 +58,9 @@
 /** Marks a server as missing: it left the list around an outage of the store
  * and may return within seconds. */
 void servers_mark_missing(struct servers *servers, const char *id);
+/** Logs each change from now on. Before, while the list is read for the first
+ * time, there would be a line for each server. */
+void servers_log_changes(struct servers *servers);
 /** Removes a server that is no longer in the list. */
 void servers_remove(struct servers *servers, const char *id);
 
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -200,6 +200,7 @@
 		log_info("servers", "server list read servers=%u",
 			 servers_count(store_sync->proxy->servers));
 	store_sync->servers_synced = true;
+	servers_log_changes(store_sync->proxy->servers);
 }
 
 static void on_fleet_put(void *context, const struct kv_item *item)
--- a/test/unit/platform/codecs_test.c
+++ b/test/unit/platform/codecs_test.c
@@ -71,6 +71,10 @@
 		"{",
 		"[]",
 		"{\"Version\":\"00000001\"}",
+		CONFIG("-0000001", ""),
+		CONFIG("+0000001", ""),
+		CONFIG("0x000001", ""),
+		CONFIG(" 0000001", ""),
 		CONFIG("1", "\"r\":" ROUTE("/a/", "\"Service\":\"reg\"", "")),
 		CONFIG("0000000g",
 		       "\"r\":" ROUTE("/a/", "\"Service\":\"reg\"", "")),
@@ -332,6 +336,34 @@
 	g_assert_cmpfloat(bounds.retry_ratio, ==, 0.2);
 }
 
+/* Numbers of other writers may have any size; a cast of one that does not fit
+ * is undefined. */
+static void numbers_out_of_range_are_bounded(void)
+{
+	static const char lease[] = "{\"Lease\":7,\"TtlMs\":4294967297}";
+	struct bounds bounds = { 0 };
+	struct server_entry entry;
+	struct kv_read_call read;
+	uint64_t id;
+	uint32_t ttl_ms;
+
+	g_assert_null(decode_server(
+		SERVER(INFO,
+		       "\"State\":\"ready\",\"Seq\":4,\"ColdLeftMs\":1e300", ""),
+		&entry));
+	g_assert_cmpuint(entry.cold_left_ms, ==, UINT32_MAX);
+	server_entry_clear(&entry);
+	bounds_decode("DrainMs=1e300,GraceS=1e9,BudgetExtra=1e20", &bounds);
+	g_assert_cmpuint(bounds.drain_ms, ==, UINT32_MAX);
+	g_assert_cmpuint(bounds.stop_grace_ms, ==, UINT32_MAX);
+	g_assert_cmpuint(bounds.retry_extra, ==, UINT32_MAX);
+	g_assert_true(kv_decode_lease(lease, strlen(lease), &id, &ttl_ms));
+	g_assert_cmpuint(ttl_ms, ==, UINT32_MAX);
+	g_assert_true(kv_decode_read_call(
+		"/kv-watch?Prefix=a/&after=1&WaitMs=4294967297", &read));
+	g_assert_cmpuint(read.wait_ms, ==, UINT32_MAX);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -347,5 +379,6 @@
 	ADD_TEST("codecs", kv_calls_are_encoded);
 	ADD_TEST("codecs", directory_is_decoded_and_encoded);
 	ADD_TEST("codecs", bounds_are_decoded);
+	ADD_TEST("codecs", numbers_out_of_range_are_bounded);
 	return g_test_run();
 }
