test(fuzz): the store's era is fuzzed with the other headers

**Problem** The parser of Store-Era was not reached by a fuzz target.

**Solution** head_fuzz reads it from each head. A comment on who advances a connection's line of requests.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -46,7 +46,7 @@
 	int64_t idle_since_ms;
 	bool head_started; /* at the last timer event */
 	bool reading;	   /* the stream parses the next message */
-	bool advancing;	   /* advance() is on the stack */
+	bool advancing;	   /* advance() follows or is on the stack */
 	bool rejected;	   /* the input is no request; nothing more is read */
 };
 
@@ -245,6 +245,9 @@
 	start_timeout(caller);
 }
 
+/* Runs a request that was read, or leaves it until its turn. While it runs,
+ * caller_end_response() leaves it to this function to advance, which may free
+ * the caller. */
 static void process(struct caller_request *request)
 {
 	struct caller *caller = request->caller;
--- a/test/fuzz/head_fuzz.c
+++ b/test/fuzz/head_fuzz.c
@@ -4,6 +4,7 @@
 
 #include "net/http_stream.h"
 #include "platform/header_codec.h"
+#include "platform/kv_codec.h"
 
 /**
  * @file
@@ -21,6 +22,7 @@
 	(void)context;
 	request_meta_decode(head);
 	response_meta_decode(head);
+	kv_decode_era(head);
 }
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
