fix(proxy): the successor of an unfit relay is used for three seconds at least

Replayed with logs: the store turned two VMs of a failure domain away, one of them its relay. All followers went on to the next VM; that one held reads for 0.8 s and turned them away, because it had itself just gone on to the next one; so all went on through every VM of the failure domain, one each 0.8 s, also themselves, and their reads were cancelled each time.

**Solution** A relay is left as unfit at most once in three seconds, and never if it is this VM itself; in between, a VM reads from the store as before.

--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -44,8 +44,10 @@
 #define RELAY_WAIT_FIRST_START_MS 1000
 #define RELAY_WAIT_MS 600
 
-/* How long a relay is not used that could not read from the store. */
+/* How long a relay is not used that could not read from the store, and how long
+ * its successor is used at least. */
 #define RELAY_UNFIT_MS 10000
+#define RELAY_UNFIT_INTERVAL_MS 3000
 
 /* How long an evacuation is kept that is missing after the store has come back
  * from a copy: the operator writes it again. */
@@ -66,6 +68,7 @@
 	/* VM that reads from the store for this failure domain, possibly this
 	 * one; "": none, NULL: not chosen yet */
 	char *relay_name;
+	int64_t next_unfit_ms;	   /* no relay is left as unfit before */
 	struct event *start_timer; /* starts reading without a relay */
 	bool fleet_synced;
 	bool operator_synced;
@@ -268,13 +271,19 @@
 {
 	struct store_sync *store_sync = context;
 	struct proxy *proxy = store_sync->proxy;
+	const int64_t now_ms = proxy_now_ms(proxy);
 
-	if (!store_sync->relay_name || !*store_sync->relay_name)
+	/* The next VM notices only after a while that it is the relay now. If all
+	 * VMs went on to the one after it at once, none would ever be ready. */
+	if (!store_sync->relay_name || !*store_sync->relay_name ||
+	    !strcmp(store_sync->relay_name, proxy->settings->name) ||
+	    now_ms < store_sync->next_unfit_ms)
 		return;
+	store_sync->next_unfit_ms = now_ms + RELAY_UNFIT_INTERVAL_MS;
 	log_warn("relay", "relay cannot read from the store vm=%s for_ms=%d",
 		 store_sync->relay_name, RELAY_UNFIT_MS);
 	vms_mark_relay_unfit(proxy->vms, store_sync->relay_name,
-			     proxy_now_ms(proxy) + RELAY_UNFIT_MS);
+			     now_ms + RELAY_UNFIT_MS);
 	choose_relay(store_sync);
 }
 
