refactor(kv): the response of a watch is handled in three steps

**Problem** on_watch() had 64 lines, and the log key `known` meant two things.

**Solution** What ends in a new range, and the application of events, are functions of their own. The era known before is logged as `known_era`.

**Result** mirror, relay, feed and store_sync tests, platform_era and platform_relay pass.

--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -127,7 +127,7 @@
 	if (era < known) {
 		log_info("store",
 			 "response of an earlier era is ignored prefix=%s "
-			 "era=%" PRIu64 " known=%" PRIu64,
+			 "era=%" PRIu64 " known_era=%" PRIu64,
 			 m->prefix, era, known);
 		return ERA_OLDER;
 	}
@@ -137,7 +137,8 @@
 		return ERA_SAME;
 	log_warn("store",
 		 "store has come back from a copy, reading all keys again "
-		 "prefix=%s era=%" PRIu64 " known=%" PRIu64 " revision=%" PRIu64,
+		 "prefix=%s era=%" PRIu64 " known_era=%" PRIu64
+		 " revision=%" PRIu64,
 		 m->prefix, era, known, m->revision);
 	m->era_began_ms = mirror_now_ms(m);
 	m->revision = 0;
@@ -265,39 +266,66 @@
 		mirror_send_next_call(m);
 }
 
-static void on_watch(void *context, uint16_t status, const char *body,
-		     size_t bytes)
+/* Applies the events of a watch. @return the pause before the next watch. */
+static uint32_t apply_events(struct mirror *m, const struct kv_page *page)
 {
-	struct mirror *m = context;
-	enum era_check era;
-	struct kv_page page;
-	uint32_t batch_ms;
 	size_t i;
 
-	m->watch_in_progress = false;
-	era = status == KV_STATUS_OK || status == KV_STATUS_HISTORY_GONE
-		      ? check_era(m)
-		      : ERA_SAME;
-	if (era == ERA_NEWER) {
-		record_response(m);
-		mirror_send_next_call(m);
-		return;
+	m->revision = MAX(m->revision, page->current_revision);
+	for (i = 0; i < page->item_count; i++) {
+		const struct kv_item *item = &page->items[i];
+
+		if (item->removed)
+			known_keys_remove(m->keys, item->key, item->revision,
+					  removal_hold_ms(m));
+		else
+			known_keys_put(m->keys, item);
 	}
+	/* no pause after a watch that timed out without an event */
+	if (!page->item_count)
+		return 0;
+	return source_uses_relay(m->source) ? RELAY_BATCH_MS : m->batch_ms;
+}
+
+/* Reads all keys again if the response of a watch shows a later era or that the
+ * history it needs is gone; treats one of an earlier era as a failure.
+ *
+ * @return whether the response was handled. */
+static bool handle_lost_history(struct mirror *m, uint16_t status)
+{
+	enum era_check era;
+
+	if (status != KV_STATUS_OK && status != KV_STATUS_HISTORY_GONE)
+		return false;
+	era = check_era(m);
 	if (era == ERA_OLDER) {
 		if (!handle_relay_failure(m, status))
 			handle_failure(m, "watch", status);
-		return;
+		return true;
 	}
-	if (status == KV_STATUS_HISTORY_GONE) {
-		record_response(m);
+	if (era == ERA_SAME && status == KV_STATUS_OK)
+		return false;
+	record_response(m);
+	if (era == ERA_SAME)
 		log_info("store",
 			 "history compacted, reading all keys again prefix=%s "
 			 "revision=%" PRIu64,
 			 m->prefix, m->revision);
-		m->synced = false;
-		mirror_send_next_call(m);
+	m->synced = false;
+	mirror_send_next_call(m);
+	return true;
+}
+
+static void on_watch(void *context, uint16_t status, const char *body,
+		     size_t bytes)
+{
+	struct mirror *m = context;
+	struct kv_page page;
+	uint32_t batch_ms;
+
+	m->watch_in_progress = false;
+	if (handle_lost_history(m, status))
 		return;
-	}
 	if (status != KV_STATUS_OK || !kv_decode_events(body, bytes, &page)) {
 		if (handle_relay_failure(m, status))
 			return;
@@ -307,19 +335,7 @@
 		return;
 	}
 	record_response(m);
-	m->revision = MAX(m->revision, page.current_revision);
-	for (i = 0; i < page.item_count; i++) {
-		const struct kv_item *item = &page.items[i];
-
-		if (item->removed)
-			known_keys_remove(m->keys, item->key, item->revision,
-					  removal_hold_ms(m));
-		else
-			known_keys_put(m->keys, item);
-	}
-	/* no pause after a watch that timed out without an event */
-	batch_ms = source_uses_relay(m->source) ? RELAY_BATCH_MS : m->batch_ms;
-	batch_ms = page.item_count ? batch_ms : 0;
+	batch_ms = apply_events(m, &page);
 	kv_page_clear(&page);
 	/* the relay has read the range again and passes on all changes */
 	m->may_have_missed_events = false;
--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -77,7 +77,7 @@
 		return false;
 	log_warn("presence",
 		 "store has come back from a copy, registering again "
-		 "era=%" PRIu64 " known=%" PRIu64 " lease=%" PRIu64,
+		 "era=%" PRIu64 " known_era=%" PRIu64 " lease=%" PRIu64,
 		 era, known, p->lease);
 	p->lease = 0;
 	p->key_written = false;
