feat(log): requests given up at the exit of a process

Problem: a request without a response at the end of a shutdown was logged as if its caller had closed the connection, without its server, and the line of its placement did not say how long the process had left. Solution: its own line, with the server and whether the request was sent; placements carry the time until the exit.

--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -283,9 +283,13 @@
 	if (!e)
 		return;
 	log_info("request",
-		 "caller closed the connection request=%s route=%s sends=%u "
+		 "%s request=%s route=%s sends=%u sent=%d server=%s "
 		 "took_ms=%" PRId64,
+		 e->proxy->exiting ? "request given up at exit"
+				   : "caller closed the connection",
 		 e->id, e->route ? e->route->name : "-", e->send_count,
+		 e->attempt && attempt_was_sent(e->attempt),
+		 e->attempt ? attempt_server(e->attempt)->id : "-",
 		 proxy_now_ms(e->proxy) - e->started_ms);
 	exchange_free(e);
 }
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -264,7 +264,7 @@
 		 "report_age_ms=%" PRId64 " known=%d wait_ms=%u away=%d "
 		 "away_share=%.2f rate_per_s=%.1f fast_ms=%.0f typical_ms=%u "
 		 "slow_ms=%u wait_max_ms=%u candidates=%u list_age_ms=%" PRId64
-		 " left_ms=%u must_end=%d again=%s",
+		 " left_ms=%u must_end=%d exit_in_ms=%" PRId64 " again=%s",
 		 sent ? "sent" : "not placed", e->id, e->route->name,
 		 e->service->name, e->object_hash, server ? server->id : "-",
 		 candidate->load, candidate->slots, candidate->local,
@@ -275,6 +275,9 @@
 		 request->wait_max_ms, count,
 		 store_sync_servers_age_ms(e->proxy->store_sync),
 		 request->remaining_ms, request->must_end,
+		 e->proxy->stopping
+			 ? e->proxy->exit_deadline_ms - proxy_now_ms(e->proxy)
+			 : -1,
 		 retry_reason ? retry_reason : "-");
 }
 
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -63,6 +63,7 @@
 	uint64_t buffered_body_bytes; /**< of requests in progress */
 	bool stopping;
 	int64_t exit_deadline_ms; /**< while stopping: time of exit */
+	bool exiting;		  /**< the event loop has ended */
 };
 
 static inline int64_t proxy_now_ms(const struct proxy *proxy)
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -41,6 +41,7 @@
 	    proxy_now_ms(proxy) >= proxy->exit_deadline_ms) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
 			 age_ms, proxy->exchanges_in_progress);
+		proxy->exiting = true;
 		event_base_loopbreak(proxy->base);
 		return;
 	}
