fix(proxy): every request gets its response before the process exits

Problem: users saw requests taken 3.2 s after SIGTERM whose connection was closed at the exit, 5.5 s after it, without a response (LOST). A VM that shuts down takes a request if its expected wait and run time fit into the time left. The expectation is wrong where the VM knows little of a server's queue, and nothing bounded the wait or answered at the exit. Solution: the exit is a deadline like any other. A server is told only the time until the exit, so that it says not-run or gives up before it; what is left at the exit gets 503 or 504 from this VM. When the directory's responses have expired, the listener closes and requests on open connections are refused.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -406,6 +406,25 @@
 	close_callers(proxy, true);
 }
 
+void callers_end_requests(struct proxy *proxy)
+{
+	GList *link = g_queue_peek_head_link(&proxy->callers);
+
+	while (link) {
+		struct caller *caller = link->data;
+		GList *request = caller->requests.head;
+
+		link = link->next;
+		if (!request)
+			continue;
+		caller->advancing = true;
+		for (; request; request = request->next)
+			exchange_end_at_exit(
+				((struct caller_request *)request->data)->exchange);
+		advance(caller);
+	}
+}
+
 void callers_close_all(struct proxy *proxy)
 {
 	close_callers(proxy, false);
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -27,6 +27,10 @@
  * are lost if the process exits now. */
 bool callers_have_unsent_bytes(const struct proxy *proxy);
 
+/** Responds to every request in progress, at the end of a graceful shutdown. A
+ * response that is being streamed goes on. */
+void callers_end_requests(struct proxy *proxy);
+
 /** Closes every connection. */
 void callers_close_all(struct proxy *proxy);
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -92,6 +92,16 @@
 		set_refusal(e, 413, "body-too-large");
 }
 
+/* Late in a graceful shutdown, other VMs have more time for a new request. */
+static void refuse_late_arrival(struct exchange *e)
+{
+	const struct proxy *proxy = e->proxy;
+
+	if (!e->refusal_status && proxy->stopping &&
+	    proxy_now_ms(proxy) >= proxy->refuse_from_ms)
+		set_refusal(e, 503, "stopping");
+}
+
 static void set_deadline(struct exchange *e, uint32_t caller_ms)
 {
 	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
@@ -137,6 +147,7 @@
 	counter_add(COUNTER_REQUESTS, 1);
 	headers_copy_request(head, e->head);
 	match_route(e, head);
+	refuse_late_arrival(e);
 	set_deadline(e, meta.deadline_ms);
 	e->request.id = e->id;
 	e->request.method = e->method;
@@ -200,6 +211,7 @@
 	struct retry_share_rule rule;
 	struct service_state *state;
 
+	refuse_late_arrival(e);
 	if (e->refusal_status) {
 		exchange_fail(e, e->refusal_status, e->refusal_reason);
 		return;
@@ -256,10 +268,21 @@
 	exchange_finish_streaming(e, ATTEMPT_TIMED_OUT);
 }
 
+/* Responds to a request that can wait no longer for its server. */
+static void end_unanswered(struct exchange *e, const char *reason)
+{
+	uint16_t status;
+
+	if (e->attempt && attempt_was_sent(e->attempt))
+		e->worst_verdict = MAX(e->worst_verdict, VERDICT_MAY_HAVE_RUN);
+	status = e->refusal_status ? e->refusal_status
+				   : outcome_http_status(e->worst_verdict, true);
+	exchange_fail(e, status, reason);
+}
+
 static void on_deadline(evutil_socket_t fd, short what, void *context)
 {
 	struct exchange *e = context;
-	uint16_t status;
 
 	(void)fd;
 	(void)what;
@@ -267,15 +290,17 @@
 		end_late_stream(e);
 		return;
 	}
-	if (e->attempt && attempt_was_sent(e->attempt)) {
-		e->worst_verdict = MAX(e->worst_verdict, VERDICT_MAY_HAVE_RUN);
+	if (e->attempt && attempt_was_sent(e->attempt))
 		record_timeout(e, attempt_server(e->attempt),
 			       attempt_elapsed_ms(e->attempt));
-	}
 	counter_add(COUNTER_TIMED_OUT, 1);
-	status = e->refusal_status ? e->refusal_status
-				   : outcome_http_status(e->worst_verdict, true);
-	exchange_fail(e, status, "time-is-up");
+	end_unanswered(e, "time-is-up");
+}
+
+void exchange_end_at_exit(struct exchange *e)
+{
+	if (e && !e->streaming)
+		end_unanswered(e, "exit");
 }
 
 void exchange_cancel(struct exchange *e)
@@ -413,6 +438,21 @@
 	on_done,
 };
 
+/* The server's report that the time is up, or else this VM's own response, must
+ * reach the caller before the process exits. */
+static void limit_deadline_to_exit(struct exchange *e)
+{
+	const struct proxy *proxy = e->proxy;
+	int64_t limit_ms = proxy->exit_deadline_ms - LATE_RESPONSE_GRACE_MS;
+
+	if (!proxy->stopping || e->deadline_ms <= limit_ms)
+		return;
+	e->must_end_at_exit = true;
+	e->deadline_ms = limit_ms;
+	e->request.deadline_ms = limit_ms;
+	timer_start(e->timer, proxy->exit_deadline_ms - proxy_now_ms(proxy));
+}
+
 static void start_attempt(struct exchange *e, const char *retry_reason)
 {
 	const char *refusal;
@@ -426,6 +466,7 @@
 	}
 	if (retry_reason)
 		counter_add(COUNTER_RETRIES, 1);
+	limit_deadline_to_exit(e);
 	e->attempt =
 		attempt_start(e->proxy, server, &e->request, &attempt_events, e);
 	if (!e->attempt)
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -37,6 +37,12 @@
 /** The output buffer is empty: resumes reading the server's response. */
 void exchange_on_output_drained(struct exchange *exchange);
 
+/**
+ * The process exits: responds that the request has not run or may have run, and
+ * frees the exchange, unless its response is being streamed. NULL is allowed.
+ */
+void exchange_end_at_exit(struct exchange *exchange);
+
 /** The caller closed its connection: cancels the request and frees the
  * exchange. NULL is allowed. */
 void exchange_cancel(struct exchange *exchange);
--- a/src/proxy/exchange_internal.h
+++ b/src/proxy/exchange_internal.h
@@ -32,6 +32,7 @@
 	int64_t started_ms;
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
 	int64_t caller_deadline_ms;
+	bool must_end_at_exit;	 /* its deadline is the exit of this process */
 	uint16_t refusal_status; /* set before placement; 0: not refused */
 	const char *refusal_reason;
 	bool refuses_body;	 /* refused without reading the body */
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -291,14 +291,13 @@
 
 /* Requires the request to end before this process exits, with a margin for runs
  * that take a little longer than usual. */
-static void limit_to_shutdown(struct place_request *request, uint32_t stop_ms)
+static void limit_to_shutdown(struct place_request *request, uint32_t stop_ms,
+			      bool must_end)
 {
 	uint32_t usable_ms = (uint32_t)(stop_ms * SHUTDOWN_TIME_SHARE);
 
-	if (usable_ms < request->remaining_ms) {
-		request->must_end = true;
-		request->remaining_ms = usable_ms;
-	}
+	request->must_end = must_end || usable_ms < request->remaining_ms;
+	request->remaining_ms = MIN(request->remaining_ms, usable_ms);
 }
 
 struct server *exchange_select_server(struct exchange *e,
@@ -322,7 +321,8 @@
 
 	if (e->proxy->stopping)
 		limit_to_shutdown(&request,
-				  ms_until(e->proxy->exit_deadline_ms, now_ms));
+				  ms_until(e->proxy->exit_deadline_ms, now_ms),
+				  e->must_end_at_exit);
 	choice = place_choose(candidates, count, &request);
 	log_choice(e, &choice, count, &request, retry_reason);
 	if (choice.result != PLACE_SEND) {
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -32,7 +32,6 @@
 	struct stop *stop;
 	struct reload *reload;
 	struct pause_watch *pause;
-	struct evconnlistener *request_listener;
 	struct responder *ready;
 	struct responder *directory;
 	struct responder *metrics;
@@ -90,12 +89,11 @@
 	const struct proxy_settings *settings = &entry->settings;
 	struct proxy *proxy = &entry->proxy;
 
-	entry->request_listener =
-		listener_open(proxy->base, settings->request_address, on_accept,
-			      proxy);
+	proxy->listener = listener_open(proxy->base, settings->request_address,
+					on_accept, proxy);
 	entry->ready = responder_new(proxy->base, settings->ready_address,
 				     handle_ready, proxy);
-	if (!entry->request_listener || !entry->ready)
+	if (!proxy->listener || !entry->ready)
 		return false;
 	if (*settings->directory_address) {
 		entry->directory =
@@ -190,8 +188,8 @@
 	responder_free(entry->metrics);
 	responder_free(entry->directory);
 	responder_free(entry->ready);
-	if (entry->request_listener)
-		evconnlistener_free(entry->request_listener);
+	if (proxy->listener)
+		evconnlistener_free(proxy->listener);
 	vms_free(proxy->vms);
 	servers_free(proxy->servers);
 	g_hash_table_destroy(proxy->service_states);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -2,6 +2,7 @@
 #define PROXY_PROXY_DEFS_H
 
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -58,10 +59,12 @@
 	GHashTable *service_states; /**< name to struct service_state */
 	GHashTable *route_states;   /**< name to struct route_state */
 	struct object_cache object_cache;
-	GQueue callers; /**< open connections of callers */
+	struct evconnlistener *listener; /**< for callers; NULL: closed */
+	GQueue callers;			 /**< open connections of callers */
 	uint32_t exchanges_in_progress;
 	uint64_t buffered_body_bytes; /**< of requests in progress */
 	bool stopping;
+	int64_t refuse_from_ms; /**< while stopping: refuse requests from then */
 	int64_t exit_deadline_ms; /**< while stopping: time of exit */
 	bool exiting;		  /**< the event loop has ended */
 };
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -13,19 +13,50 @@
 /* Callers cache directory responses for one second, some for three; this VM
  * accepts their connections until then. */
 #define DIRECTORY_CACHE_MS 3200
+/* Requests are refused from this time on; those that came with their
+ * connection, before the listener closed, have been read by then. */
+#define REFUSE_AFTER_MS (DIRECTORY_CACHE_MS + CHECK_INTERVAL_MS)
 /* Idle connections are closed after this time, when callers have queried the
  * directory again. */
 #define CLOSE_IDLE_AFTER_MS 2000
 /* Exit this long before the process would be killed. */
 #define EXIT_RESERVE_MS 500
+/* Part of that time in which the last responses can leave the process. */
+#define LAST_RESPONSES_MS 300
 
 struct stop {
 	struct proxy *proxy;
 	struct event *signals[2];
 	struct event *timer;
 	int64_t started_ms;
+	bool ended_requests;
 };
 
+static void stop_accepting(struct proxy *proxy)
+{
+	if (proxy->listener)
+		evconnlistener_free(proxy->listener);
+	proxy->listener = NULL;
+}
+
+/* Whether the process may exit. At its deadline it first responds to the
+ * requests that are left. */
+static bool may_exit(struct stop *stop)
+{
+	struct proxy *proxy = stop->proxy;
+	int64_t now_ms = proxy_now_ms(proxy);
+
+	if (now_ms >= proxy->exit_deadline_ms && !stop->ended_requests) {
+		stop->ended_requests = true;
+		callers_end_requests(proxy);
+	}
+	if (now_ms >= proxy->exit_deadline_ms + LAST_RESPONSES_MS)
+		return true;
+	return now_ms - stop->started_ms >= DIRECTORY_CACHE_MS &&
+	       !proxy->exchanges_in_progress &&
+	       !callers_have_unsent_bytes(proxy);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	struct stop *stop = context;
@@ -36,9 +67,9 @@
 	(void)what;
 	if (age_ms >= CLOSE_IDLE_AFTER_MS)
 		callers_close_idle(proxy);
-	if ((age_ms >= DIRECTORY_CACHE_MS && !proxy->exchanges_in_progress &&
-	     !callers_have_unsent_bytes(proxy)) ||
-	    proxy_now_ms(proxy) >= proxy->exit_deadline_ms) {
+	if (age_ms >= DIRECTORY_CACHE_MS)
+		stop_accepting(proxy);
+	if (may_exit(stop)) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
 			 age_ms, proxy->exchanges_in_progress);
 		proxy->exiting = true;
@@ -62,6 +93,8 @@
 	stop->proxy->exit_deadline_ms =
 		stop->started_ms - EXIT_RESERVE_MS +
 		(int64_t)stop->proxy->bounds.stop_grace_ms;
+	stop->proxy->refuse_from_ms = MIN(stop->started_ms + REFUSE_AFTER_MS,
+					  stop->proxy->exit_deadline_ms);
 	presence_withdraw(stop->proxy->presence);
 	on_timer(-1, 0, stop);
 }
--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -28,7 +28,7 @@
 #define SHORT_GRACE_MS 5000
 #define SHORT_EXIT_MS (SHORT_GRACE_MS - 500)
 /* When no caller has this VM's address from the directory any more. */
-#define CALLERS_LEFT_MS 3200
+#define CALLERS_LEFT_MS 3300
 #define REQUEST_TIMEOUT_MS 20000
 #define TARGET_LATENCY_MS 1000
 
