test(proxy): close pooled connections at the end of the shutdown tests

Problem: the address sanitizer reported the idle connection to the test's server as leaked: it keeps its server, and the server its connection. Solution: the test closes it, as its idle timer would. Result: stop_test passes with the address and undefined-behavior sanitizers without a report; one leak was reported before.

--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -13,6 +13,7 @@
 #include "platform_kv.h"
 #include "proxy/caller.h"
 #include "proxy/crash.h"
+#include "proxy/pool.h"
 #include "proxy/store_sync.h"
 #include "unit/test.h"
 
@@ -199,7 +200,12 @@
 
 static void teardown_requests(void)
 {
+	struct server *s1 =
+		g_ptr_array_index(servers_for_service(proxy.servers, "reg"), 0);
+
 	callers_close_all(&proxy);
+	while (s1->idle)
+		pool_discard(s1->idle);
 	responder_free(server);
 	event_free(queue.deadline);
 	store_sync_free(proxy.store_sync);
