fix(proxy): the last responses leave a process that was suspended

Problem: a VM that was suspended past its exit deadline wrote its last responses and ended its event loop in the same moment, so none was sent. Solution: the time for the last responses begins when they are written. Result: last_responses_leave_after_a_suspension failed before (no response), and passes.

--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -29,7 +29,7 @@
 	struct event *signals[2];
 	struct event *timer;
 	int64_t started_ms;
-	bool ended_requests;
+	int64_t last_responses_ms; /* when they were written; 0: not yet */
 };
 
 static void stop_accepting(struct proxy *proxy)
@@ -46,11 +46,12 @@
 	struct proxy *proxy = stop->proxy;
 	int64_t now_ms = proxy_now_ms(proxy);
 
-	if (now_ms >= proxy->exit_deadline_ms && !stop->ended_requests) {
-		stop->ended_requests = true;
+	if (now_ms >= proxy->exit_deadline_ms && !stop->last_responses_ms) {
+		stop->last_responses_ms = now_ms;
 		callers_end_requests(proxy);
 	}
-	if (now_ms >= proxy->exit_deadline_ms + LAST_RESPONSES_MS)
+	if (stop->last_responses_ms &&
+	    now_ms >= stop->last_responses_ms + LAST_RESPONSES_MS)
 		return true;
 	return now_ms - stop->started_ms >= DIRECTORY_CACHE_MS &&
 	       !proxy->exchanges_in_progress &&
--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -369,6 +369,26 @@
 	teardown_requests();
 }
 
+/* The process was suspended until after its exit deadline. */
+static void last_responses_leave_after_a_suspension(void)
+{
+	struct stop *stop;
+	int fd;
+
+	setup_requests(false);
+	run_ms(100);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(1000));
+	fd = send_request();
+	g_assert_false(run_ms(100));
+	clock_manual_advance_ms(&manual, 2 * SHORT_GRACE_MS);
+	g_assert_true(run_ms(1000));
+	g_assert_cmpint(take_status(fd), ==, 504);
+	stop_free(stop);
+	teardown_requests();
+}
+
 /* Callers that still send when all have left can be served by another VM. */
 static void request_long_after_sigterm_is_refused(void)
 {
@@ -400,6 +420,7 @@
 	ADD_TEST("stop", ends_when_nothing_is_left);
 	ADD_TEST("stop", queued_request_is_not_given_up_at_exit);
 	ADD_TEST("stop", request_without_response_is_answered_at_exit);
+	ADD_TEST("stop", last_responses_leave_after_a_suspension);
 	ADD_TEST("stop", request_long_after_sigterm_is_refused);
 	return g_test_run();
 }
