fix(entry): every request gets a response before the daemon's shutdown ends

**Problem** `leave_max_ms` ends a shutdown of `auburnreachd`, but the deadlines of the requests it serves know nothing of it: they are those of the service, also for a request that arrives late in the shutdown. What was still in progress then ran on in its thread while the HTTP server stopped, and its response was thrown away: the caller saw the connection close, whatever had run. The process also stayed on until the last deadline.

**Solution** The shutdown sets an end, 250 ms before `leave_max_ms` at most. Threads that serve callers observe it: it limits the deadline that is passed to servers, ends attempts, waits for a slot and bodies that are still being read, and refuses what arrives later. The responses leave before the server is stopped. A request that has an order key is told may-have-run, as its key was not looked up.

**Result** `test/functional/entry_stop.sh`: before, a read and an order in progress at the end, an order sent 0.9 s after SIGTERM (limit 1.5 s) got no response at all (3 of 3) and the log said `left_over=3`. Now 504, 504 and 504 with their verdicts, and 503 for a request whose body was not complete; `left_over=0`, exit code 0, three runs. `test/functional/orders.sh`, `scenario_test`, `orders_test`, `pick_test` pass. Not tested: a request that arrives in the last 250 ms.

--- a/src/backend/backends.c
+++ b/src/backend/backends.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/deadline.h"
 #include "base/log.h"
 #include "decide/rank.h"
 #include "document/document.h"
@@ -268,6 +269,7 @@
 	int64_t until_ns = now_ns + SLOT_RECHECK_NS;
 	struct timespec until;
 
+	deadline_ns = deadline_limit(deadline_ns);
 	if (now_ns >= deadline_ns)
 		return false;
 	if (until_ns > deadline_ns)
--- a/src/base/deadline.c
+++ b/src/base/deadline.c
@@ -14,6 +14,7 @@
 struct watched_thread {
 	pthread_t thread;
 	atomic_int_fast64_t deadline_ns; /* 0 while disarmed */
+	atomic_bool observes_end;
 	struct watched_thread *next;
 };
 
@@ -23,6 +24,7 @@
 static pthread_key_t thread_exit_key;
 static pthread_t watcher_thread;
 static atomic_bool stopping;
+static atomic_int_fast64_t end_ns; /* 0: none */
 
 static void on_interrupt_signal(int signal_number)
 {
@@ -44,6 +46,15 @@
 	free(entry);
 }
 
+static int64_t limit_for(const struct watched_thread *entry, int64_t deadline_ns)
+{
+	int64_t limit_ns = end_ns;
+
+	if (entry && entry->observes_end && limit_ns && limit_ns < deadline_ns)
+		return limit_ns;
+	return deadline_ns;
+}
+
 static void interrupt_overdue_threads(int64_t now_ns)
 {
 	struct watched_thread *entry;
@@ -52,7 +63,7 @@
 	pthread_mutex_lock(&threads_lock);
 	for (entry = threads; entry; entry = entry->next) {
 		deadline_ns = entry->deadline_ns;
-		if (deadline_ns && deadline_ns <= now_ns)
+		if (deadline_ns && limit_for(entry, deadline_ns) <= now_ns)
 			pthread_kill(entry->thread, INTERRUPT_SIGNAL);
 	}
 	pthread_mutex_unlock(&threads_lock);
@@ -120,7 +131,24 @@
 		own_entry->deadline_ns = 0;
 }
 
+void deadline_set_end(int64_t ns)
+{
+	end_ns = ns;
+}
+
+void deadline_observe_end(void)
+{
+	if (!own_entry)
+		register_self();
+	own_entry->observes_end = true;
+}
+
+int64_t deadline_limit(int64_t deadline_ns)
+{
+	return limit_for(own_entry, deadline_ns);
+}
+
 bool deadline_passed(int64_t deadline_ns)
 {
-	return clock_now_ns(&clock_system) >= deadline_ns;
+	return clock_now_ns(&clock_system) >= deadline_limit(deadline_ns);
 }
--- a/src/base/deadline.h
+++ b/src/base/deadline.h
@@ -34,7 +34,24 @@
 /** Clears the calling thread's deadline. */
 void deadline_disarm(void);
 
-/** @return whether `deadline_ns` (monotonic) has been reached. Any thread. */
+/**
+ * Sets a time at which the deadlines of all threads that observe it end at the
+ * latest, also of calls in progress. Any thread.
+ *
+ * @param end_ns monotonic time in nanoseconds; 0: none.
+ */
+void deadline_set_end(int64_t end_ns);
+
+/** From now on the calling thread observes the end. */
+void deadline_observe_end(void);
+
+/** @return `deadline_ns`, or the end if the thread observes an earlier one. */
+int64_t deadline_limit(int64_t deadline_ns);
+
+/**
+ * @return whether `deadline_ns` (monotonic), or an earlier end that the thread
+ * observes, has been reached. Any thread.
+ */
 bool deadline_passed(int64_t deadline_ns);
 
 #endif
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/deadline.h"
 #include "base/log.h"
 #include "entry/explain.h"
 
@@ -237,7 +238,7 @@
 		return false;
 	if (attempt->verdict != VERDICT_NOT_RUN && !exchange->idempotent)
 		return false;
-	if (clock_now_ns(&entry->clock) >= exchange->deadline_ns)
+	if (clock_now_ns(&entry->clock) >= deadline_limit(exchange->deadline_ns))
 		return false;
 	if (is_quarantined(entry, exchange->fingerprint))
 		return false;
--- a/src/entry/order.c
+++ b/src/entry/order.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/deadline.h"
 #include "base/log.h"
 #include "entry/claims.h"
 #include "entry/explain.h"
@@ -299,7 +300,7 @@
 		return;
 	}
 	if (decision == DECISION_RUN &&
-	    clock_now_ns(&entry->clock) >= exchange->deadline_ns)
+	    clock_now_ns(&entry->clock) >= deadline_limit(exchange->deadline_ns))
 		refuse(entry, exchange, VERDICT_NOT_RUN, 503,
 		       "its time was up before it was sent");
 	else if (decision == DECISION_RUN)
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/deadline.h"
 #include "base/log.h"
 #include "entry/explain.h"
 #include "entry/forward.h"
@@ -85,7 +86,10 @@
 		 entry->incarnation, number);
 }
 
-/** @return the service's deadline, or the caller's if that is earlier. */
+/**
+ * @return the earliest of the service's deadline, the caller's and the end of a
+ * shutdown.
+ */
 static int64_t compute_deadline_ns(const struct entry *entry,
 				   const struct doc_service *service,
 				   const char *header)
@@ -99,7 +103,8 @@
 		if (requested_ms < remaining_ms)
 			remaining_ms = requested_ms;
 	}
-	return clock_now_ns(&entry->clock) + remaining_ms * NS_PER_MS;
+	return deadline_limit(clock_now_ns(&entry->clock) +
+			      remaining_ms * NS_PER_MS);
 }
 
 static struct entry_service *find_service(struct entry *entry, const char *name)
@@ -233,14 +238,35 @@
 	g_free(headers);
 }
 
+/**
+ * Refuses a request whose order key, if it has one, was not looked up in the
+ * order table: it may be a duplicate of one that ran.
+ */
+static void refuse_unchecked(const struct mg_connection *connection,
+			     struct exchange *exchange, const char *reason)
+{
+	forward_refuse(exchange,
+		       mg_get_header(connection, HEADER_KEY) ? VERDICT_MAY_HAVE_RUN
+							     : VERDICT_NOT_RUN,
+		       503, reason);
+}
+
 /** Receives the request body. @return false after refusing the exchange. */
 static bool receive_body(struct mg_connection *connection,
 			 struct exchange *exchange)
 {
-	int64_t body_bytes =
-		http_read_body(connection, exchange->service->body_bytes_max,
-			       &exchange->body);
+	int64_t body_bytes;
 
+	deadline_arm(INT64_MAX); /* the end of a shutdown may be earlier */
+	body_bytes = http_read_body(connection, exchange->service->body_bytes_max,
+				    &exchange->body);
+	deadline_disarm();
+	if (deadline_passed(INT64_MAX)) {
+		counter_add(COUNTER_REFUSED_OTHER, 1);
+		mg_disable_connection_keep_alive(connection);
+		refuse_unchecked(connection, exchange, "the VM shuts down");
+		return false;
+	}
 	if (body_bytes >= 0) {
 		exchange->body_bytes = (uint32_t)body_bytes;
 		return true;
@@ -296,13 +322,8 @@
 			 "threads is in use\"",
 			 service);
 		mg_disable_connection_keep_alive(connection);
-		/* with a key, the order may be a duplicate of one that ran; the
-		 * order table was not checked */
-		forward_refuse(exchange,
-			       mg_get_header(connection, HEADER_KEY)
-				       ? VERDICT_MAY_HAVE_RUN
-				       : VERDICT_NOT_RUN,
-			       503, "too many requests of the service at a time");
+		refuse_unchecked(connection, exchange,
+				 "too many requests of the service at a time");
 		send_response(entry, connection, exchange);
 	}
 	forward_clear(exchange);
@@ -319,6 +340,7 @@
 	};
 	char *path;
 
+	deadline_observe_end();
 	path = g_strconcat(info->request_uri, info->query_string ? "?" : "",
 			   info->query_string ? info->query_string : "", NULL);
 	exchange.path = path;
--- a/src/entry/shutdown.c
+++ b/src/entry/shutdown.c
@@ -5,12 +5,18 @@
 #include <time.h>
 
 #include "base/counter.h"
+#include "base/deadline.h"
 #include "base/log.h"
 
 #define POLL_MS 20
 /* The in-flight gauge must stay at zero for this long before the VM counts as
  * idle. */
 #define IDLE_MS 200
+/* Requests end this long before the server is stopped, at the latest: what it
+ * has not sent by then is lost. */
+#define RESPONSE_RESERVE_MS 250
+/* The reserve is at most the longest time of a shutdown divided by this. */
+#define RESPONSE_RESERVE_DIVISOR 4
 
 static void sleep_poll_interval(void)
 {
@@ -28,6 +34,13 @@
 	return ttl_ms;
 }
 
+static uint32_t response_reserve_ms(uint32_t leave_max_ms)
+{
+	uint32_t ms = leave_max_ms / RESPONSE_RESERVE_DIVISOR;
+
+	return ms < RESPONSE_RESERVE_MS ? ms : RESPONSE_RESERVE_MS;
+}
+
 /**
  * Waits until nothing was in flight for IDLE_MS, or until `limit_ms`.
  *
@@ -57,6 +70,9 @@
 	int64_t in_flight_before;
 	int64_t ended_ms;
 
+	deadline_set_end(
+		(limit_ms - response_reserve_ms(entry->settings.leave_max_ms)) *
+		NS_PER_MS);
 	entry->leaving = true;
 	gauge_set(GAUGE_LEAVING, 1);
 	peer_set_flag(entry->peer, MEMBER_LEAVING, true);
