fix(http): a server that stops refuses connections at once

**Problem** The HTTP library looks for the end of its server only when a connection arrives, or every two seconds. Until then the kernel goes on to accept connections that nobody answers: for up to two seconds after `leave: done` a caller of `auburnreachd`, or a browser at the console, sent its request and saw the connection close without a response. It cannot know that nothing ran.

**Solution** `http_server_stop()` connects to the server while it stops, which ends the wait. Callers are then refused before they have sent anything.

--- a/src/console/main.c
+++ b/src/console/main.c
@@ -106,7 +106,7 @@
 		log_info("console", "started address=%s tls=%s",
 			 settings->listen, options.certificate ? "yes" : "no");
 		sigwait(signals, &signal_number);
-		mg_stop(server);
+		http_server_stop(server, settings->listen);
 	}
 	g_free(console->secret);
 	store_etcd_free(etcd);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -131,7 +131,7 @@
 		 entry->settings.address);
 	sigwait(signals, &signal_number);
 	complete = shutdown_run(entry);
-	mg_stop(server);
+	http_server_stop(server, entry->settings.listen);
 	return complete ? EXIT_SUCCESS : EXIT_FAILED;
 }
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,12 +1,21 @@
 #include "http/http_server.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "net/tcp.h"
 
 #define HEAD_BYTES 2048
 #define OPTION_BYTES 80
 #define OPTIONS_MAX 24
+#define WAKE_PERIOD_MS 10
 
 #define BODY_TOO_LONG (-1)
 #define BODY_INCOMPLETE (-2)
@@ -59,6 +68,47 @@
 	return server;
 }
 
+/** Connects to a server until it is stopped. */
+struct waker {
+	struct sockaddr_in address;
+	atomic_bool stopped;
+};
+
+static void *run_waker(void *context)
+{
+	const struct timespec period = { 0, WAKE_PERIOD_MS * NS_PER_MS };
+	struct waker *waker = context;
+	int fd;
+
+	while (!waker->stopped) {
+		clock_nanosleep(CLOCK_MONOTONIC, 0, &period, NULL);
+		fd = tcp_open_socket(0);
+		if (fd < 0)
+			continue;
+		/* doesn't block; the connection itself is of no use */
+		(void)!connect(fd, (struct sockaddr *)&waker->address,
+			       sizeof(waker->address));
+		close(fd);
+	}
+	return NULL;
+}
+
+void http_server_stop(struct mg_context *server, const char *address)
+{
+	struct waker waker = { .stopped = false };
+	pthread_t thread;
+	bool started;
+
+	/* the library looks for the end only when a connection arrives, or
+	 * every two seconds, and until then accepts what it will not answer */
+	started = tcp_parse_address(address, &waker.address) &&
+		  !pthread_create(&thread, NULL, run_waker, &waker);
+	mg_stop(server);
+	waker.stopped = true;
+	if (started)
+		pthread_join(thread, NULL);
+}
+
 static int64_t read_sized_body(struct mg_connection *connection, char *body,
 			       int64_t body_bytes)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -23,11 +23,19 @@
 /**
  * Starts a server whose handlers are set with mg_set_request_handler().
  *
- * @return the server, to be stopped with mg_stop(), or NULL after one line on
- * standard error.
+ * @return the server, to be stopped with http_server_stop(), or NULL after one
+ * line on standard error.
  */
 struct mg_context *http_server_start(const struct http_server_options *options);
 
+/**
+ * Stops and frees a server. Handlers in progress are waited for, but what they
+ * reply is not sent.
+ *
+ * @param address on which it listens, as it was started.
+ */
+void http_server_stop(struct mg_context *server, const char *address);
+
 /**
  * Reads a request's body.
  *
