fix(entry): the daemon exits at the end of its shutdown, not at its watch's

**Problem** After the shutdown the daemon waited for its call to the store that waits for a change, up to 5 s.

**Solution** `watch_stop()` sets the end that the watch's thread observes, which ends the call.

--- a/src/entry/watch.c
+++ b/src/entry/watch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "base/deadline.h"
 #include "base/log.h"
 #include "decide/rank.h"
 
@@ -135,6 +136,7 @@
 {
 	struct watch *watch = context;
 
+	deadline_observe_end();
 	read_document(watch);
 	while (!watch->stopping) {
 		if (peer_watch_rank(watch->entry->peer) < WATCHERS_PER_DOMAIN) {
@@ -166,6 +168,8 @@
 	if (!watch)
 		return;
 	watch->stopping = true;
+	/* ends a call to the store that waits for a change */
+	deadline_set_end(clock_now_ns(&clock_system));
 	pthread_join(watch->thread, NULL);
 	free(watch);
 }
--- a/test/functional/entry_stop.sh
+++ b/test/functional/entry_stop.sh
@@ -55,5 +55,7 @@
 expect "an order that arrives late gets 504" was_answered late 504 may-have-run
 expect "a request whose body is not complete at the end gets 503" \
 	grep -q '^HTTP/1.1 503 ' "$OUT/part.status"
+expect "the process exits soon after its time" \
+	fleet_wait 2 bash -c "! kill -0 ${ENTRY_PID[e1]} 2>/dev/null"
 wait "${ENTRY_PID[e1]}" || die "the graceful shutdown failed"
 expect "no request is left over" grep -q 'leave: done .*left_over=0' "$OUT/e1.log"
