fix(directory): a VM that shuts down doesn't name itself

**Problem** A VM that shuts down withdraws from the store and waits for its own list of VMs to show it. Until then, batching included, and for as long as the store is away, its directory named its own address to callers, which may cache it past the exit. Unknown counted as live.

**Solution** While it shuts down, the directory leaves this VM out. If no other VM is known the response is 503, as it was when the list had become empty.

--- a/src/proxy/directory.c
+++ b/src/proxy/directory.c
@@ -10,6 +10,12 @@
  * until then. */
 #define RESPONSE_TTL_S 1
 
+/* The list shows this VM until it learns from the store that it has withdrawn. */
+static bool is_leaving(const struct proxy *proxy, const struct vm *vm)
+{
+	return proxy->stopping && !strcmp(vm->name, proxy->settings->name);
+}
+
 static uint32_t collect_addresses(const struct proxy *proxy, const char *region,
 				  const char **addresses)
 {
@@ -27,7 +33,8 @@
 		const struct vm *vm =
 			g_ptr_array_index(all, (start + i) % all->len);
 
-		if (!region || (vm->region && !strcmp(vm->region, region)))
+		if (!is_leaving(proxy, vm) &&
+		    (!region || (vm->region && !strcmp(vm->region, region))))
 			addresses[count++] = vm->address;
 	}
 	return count;
