fix(http): a server answers the requests in progress before it stops

**Problem** The HTTP library throws away what a handler replies once its server stops. At SIGTERM the console stopped at once: an operator whose change was just being published saw the connection close, and could not know whether it was. The daemon waits for callers' requests, but not for look-ups, nor for a request that begins after its last check.

**Solution** `http_server_stop()` waits until no request is in progress: up to 6 s for the console (two calls to the store), 250 ms for the daemon.

**Result** `http_server_test`, `answers_requests_in_progress`: failed before (the connection is closed without a byte), passes now with the other two (3 runs). `entry_stop.sh` and `console.sh` pass.

--- a/src/console/main.c
+++ b/src/console/main.c
@@ -21,6 +21,8 @@
  */
 
 #define STORE_TIMEOUT_MS 3000
+/* A change that is being published reads from the store and writes to it. */
+#define DRAIN_MS (2 * STORE_TIMEOUT_MS)
 #define PASSWORD_BYTES_MAX 256
 #define SERVER_THREADS 16
 
@@ -106,7 +108,7 @@
 		log_info("console", "started address=%s tls=%s",
 			 settings->listen, options.certificate ? "yes" : "no");
 		sigwait(signals, &signal_number);
-		http_server_stop(server, settings->listen);
+		http_server_stop(server, settings->listen, DRAIN_MS);
 	}
 	g_free(console->secret);
 	store_etcd_free(etcd);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -30,6 +30,8 @@
 #define PROGRAM "auburnreachd"
 #define REQUEST_TIMEOUT_MS 10000
 #define CONNECTION_BACKLOG 256
+/* For look-ups and status requests; callers' requests have ended by then. */
+#define DRAIN_MS 250
 
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
@@ -131,7 +133,7 @@
 		 entry->settings.address);
 	sigwait(signals, &signal_number);
 	complete = shutdown_run(entry);
-	http_server_stop(server, entry->settings.listen);
+	http_server_stop(server, entry->settings.listen, DRAIN_MS);
 	return complete ? EXIT_SUCCESS : EXIT_FAILED;
 }
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -16,10 +16,31 @@
 #define OPTION_BYTES 80
 #define OPTIONS_MAX 24
 #define WAKE_PERIOD_MS 10
+#define DRAIN_PERIOD_MS 5
 
 #define BODY_TOO_LONG (-1)
 #define BODY_INCOMPLETE (-2)
 
+/* Requests in progress; a process has one server. */
+static atomic_uint requests_in_progress;
+
+static int on_request_begin(struct mg_connection *connection)
+{
+	requests_in_progress++;
+	mg_set_user_connection_data(connection, &requests_in_progress);
+	return 0;
+}
+
+/* Also called for what is no request. */
+static void on_request_end(const struct mg_connection *connection, int status)
+{
+	(void)status;
+	if (!mg_get_user_connection_data(connection))
+		return;
+	mg_set_user_connection_data(connection, NULL);
+	requests_in_progress--;
+}
+
 struct mg_context *http_server_start(const struct http_server_options *options)
 {
 	char threads[OPTION_BYTES], keep_alive[OPTION_BYTES],
@@ -60,6 +81,8 @@
 	}
 	settings[used] = NULL;
 	memset(&callbacks, 0, sizeof(callbacks));
+	callbacks.begin_request = on_request_begin;
+	callbacks.end_request = on_request_end;
 	server = mg_start(&callbacks, NULL, settings);
 	if (!server)
 		fprintf(stderr,
@@ -93,12 +116,23 @@
 	return NULL;
 }
 
-void http_server_stop(struct mg_context *server, const char *address)
+static void wait_for_requests(uint32_t limit_ms)
+{
+	const struct timespec period = { 0, DRAIN_PERIOD_MS * NS_PER_MS };
+	uint32_t ms;
+
+	for (ms = 0; requests_in_progress && ms < limit_ms; ms += DRAIN_PERIOD_MS)
+		clock_nanosleep(CLOCK_MONOTONIC, 0, &period, NULL);
+}
+
+void http_server_stop(struct mg_context *server, const char *address,
+		      uint32_t drain_ms)
 {
 	struct waker waker = { .stopped = false };
 	pthread_t thread;
 	bool started;
 
+	wait_for_requests(drain_ms);
 	/* the library looks for the end only when a connection arrives, or
 	 * every two seconds, and until then accepts what it will not answer */
 	started = tcp_parse_address(address, &waker.address) &&
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -29,12 +29,14 @@
 struct mg_context *http_server_start(const struct http_server_options *options);
 
 /**
- * Stops and frees a server. Handlers in progress are waited for, but what they
- * reply is not sent.
+ * Stops and frees a server when no request is in progress. It accepts requests
+ * until then.
  *
  * @param address on which it listens, as it was started.
+ * @param drain_ms longest wait. What handlers reply later is not sent.
  */
-void http_server_stop(struct mg_context *server, const char *address);
+void http_server_stop(struct mg_context *server, const char *address,
+		      uint32_t drain_ms);
 
 /**
  * Reads a request's body.
--- a/test/unit/http/http_server_test.c
+++ b/test/unit/http/http_server_test.c
@@ -11,6 +11,9 @@
 
 /* Time within which a server that is being stopped accepts no connection. */
 #define CLOSED_AFTER_MS 300
+/* Time that one handler takes. */
+#define SLOW_MS 600
+#define DRAIN_MS 2000
 
 static char address[32];
 static struct mg_context *server;
@@ -22,6 +25,12 @@
 	return 200;
 }
 
+static int answer_slowly(struct mg_connection *connection, void *context)
+{
+	g_usleep(SLOW_MS * 1000);
+	return answer(connection, context);
+}
+
 static void setup(void)
 {
 	struct http_server_options options = {
@@ -39,28 +48,39 @@
 		server = http_server_start(&options);
 	}
 	g_assert_nonnull(server);
+	mg_set_request_handler(server, "/slow$", answer_slowly, NULL);
 	mg_set_request_handler(server, "/", answer, NULL);
 	/* the server waits for connections */
 	g_usleep(100 * 1000);
 }
 
-static bool is_connection_accepted(void)
+/* @return a connection to the server, or -1. */
+static int connect_to_server(void)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	struct sockaddr_in to;
-	bool accepted;
 
 	g_assert_cmpint(fd, >=, 0);
 	g_assert_true(tcp_parse_address(address, &to));
-	accepted = !connect(fd, (struct sockaddr *)&to, sizeof(to));
+	if (!connect(fd, (struct sockaddr *)&to, sizeof(to)))
+		return fd;
 	close(fd);
-	return accepted;
+	return -1;
+}
+
+static bool is_connection_accepted(void)
+{
+	int fd = connect_to_server();
+
+	if (fd >= 0)
+		close(fd);
+	return fd >= 0;
 }
 
 static void *stop_server(void *context)
 {
 	(void)context;
-	http_server_stop(server, address);
+	http_server_stop(server, address, DRAIN_MS);
 	server = NULL;
 	return NULL;
 }
@@ -90,11 +110,30 @@
 	g_assert_cmpint(clock_now_ms(&clock_system) - began_ms, <, 1000);
 }
 
+static void answers_requests_in_progress(void)
+{
+	static const char request[] = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n";
+	char response[256] = "";
+	pthread_t thread;
+	int fd;
+
+	setup();
+	fd = connect_to_server();
+	g_assert_cmpint(write(fd, request, strlen(request)), ==, strlen(request));
+	g_usleep(SLOW_MS / 3 * 1000);
+	g_assert_cmpint(pthread_create(&thread, NULL, stop_server, NULL), ==, 0);
+	g_assert_cmpint(read(fd, response, sizeof(response) - 1), >, 0);
+	g_assert_nonnull(strstr(response, "HTTP/1.1 200 "));
+	close(fd);
+	pthread_join(thread, NULL);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	mg_init_library(0);
 	ADD_TEST("http_server", refuses_connections_while_stopping);
 	ADD_TEST("http_server", stops_soon);
+	ADD_TEST("http_server", answers_requests_in_progress);
 	return g_test_run();
 }
