fix(place): a stopping VM allows for slow runs of routes without objects

**Problem** Whether a request can end before the exit was decided by the median run time if its route has no objects: half of those that just fit take longer and are given up.

**Solution** What must end is measured by the slow quantile, as it is for objects that are not cached. Requests to a VM that doesn't shut down are placed as before.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -88,6 +88,17 @@
 	return place_wait_ms(load, candidate->slots, request->typical_ms);
 }
 
+/* The run time to allow for. A request that must end is promised a response,
+ * and half of the runs take longer than the typical one, unless the object is
+ * cached. */
+static uint32_t candidate_run_ms(const struct place_candidate *candidate,
+				 const struct place_request *request)
+{
+	if (candidate->cached || (!request->sticky && !request->must_end))
+		return request->typical_ms;
+	return request->slow_ms;
+}
+
 /* Chooses the server of a group with the shortest queue, or the highest ranked
  * one of several with free slots, if the response arrives in time. */
 static bool choose_from(const struct shortlist *list,
@@ -101,9 +112,7 @@
 		const struct place_candidate *candidate =
 			&candidates[list->indices[i]];
 		uint32_t wait_ms = candidate_wait_ms(candidate, request);
-		uint32_t run_ms = candidate->cached || !request->sticky
-					  ? request->typical_ms
-					  : request->slow_ms;
+		uint32_t run_ms = candidate_run_ms(candidate, request);
 
 		if (choice->result == PLACE_NO_SERVER) {
 			choice->result = PLACE_NO_ROOM;
--- a/test/unit/decide/place_test.c
+++ b/test/unit/decide/place_test.c
@@ -147,6 +147,23 @@
 			PLACE_NO_ROOM);
 }
 
+/* Load pattern: run times of a route without objects vary. Half of its requests
+ * take longer than the typical one, and no one answers them after the exit. */
+static void stopping_vm_leaves_time_for_slow_runs(void)
+{
+	struct place_request request = request_for(1);
+
+	reset();
+	request.sticky = false;
+	request.must_end = true;
+	request.remaining_ms = 1000;
+	g_assert_cmpint(place_choose(servers, SERVERS, &request).result, ==,
+			PLACE_SEND);
+	request.remaining_ms = 600;
+	g_assert_cmpint(place_choose(servers, SERVERS, &request).result, ==,
+			PLACE_NO_ROOM);
+}
+
 /* Guards against moving the objects of servers that stay. */
 static void leaving_server_moves_only_its_objects(void)
 {
@@ -284,6 +301,7 @@
 	ADD_TEST("place", refuses_at_own_request_limit);
 	ADD_TEST("place", first_request_needs_time_for_slow_run);
 	ADD_TEST("place", stopping_vm_accepts_what_it_can_finish);
+	ADD_TEST("place", stopping_vm_leaves_time_for_slow_runs);
 	ADD_TEST("place", leaving_server_moves_only_its_objects);
 	ADD_TEST("place", spreads_objects_in_proportion_to_slots);
 	ADD_TEST("place", queue_alone_does_not_cause_spillover);
