test(proxy): a VM exits before others know of its withdrawal (known red)

**Problem** The 3.2 s after which a VM that shuts down accepts no connections count from SIGTERM, on the assumption that the store has told the other VMs by then. If it is away the withdrawal is only tried again; the other VMs go on naming this one.

--- a/test/unit/proxy/stop_callers_test.c
+++ b/test/unit/proxy/stop_callers_test.c
@@ -53,8 +53,10 @@
 	return false;
 }
 
-/* A process that has got SIGTERM some time before. */
-static void setup(uint32_t stopping_for_ms)
+/* A process that got SIGTERM some time ago.
+ *
+ * @param fault of the store since shortly before the SIGTERM. */
+static void setup(uint32_t stopping_for_ms, const char *fault)
 {
 	struct sockaddr_in address;
 	char text[32];
@@ -76,6 +78,7 @@
 	proxy.presence = presence_new(proxy.base, &address, "a/vm", "{}",
 				      &presence_events, NULL);
 	run_ms(100);
+	platform_kv_set_fault(kv, fault);
 	stop = stop_new(&proxy);
 	raise(SIGTERM);
 	g_assert_false(run_ms(stopping_for_ms));
@@ -117,23 +120,34 @@
 
 static void connections_just_opened_are_not_idle(void)
 {
-	setup(CLOSES_IDLE_MS);
+	setup(CLOSES_IDLE_MS, "");
 	assert_is_answered();
 	teardown();
 }
 
 static void exit_waits_for_connections_just_opened(void)
 {
-	setup(NEAR_EXIT_MS);
+	setup(NEAR_EXIT_MS, "");
 	g_assert_true(assert_is_answered() || run_ms(3000));
 	teardown();
 }
 
+/* The other VMs name this one until the store has told them of the withdrawal:
+ * its callers are as many as ever. */
+static void stays_until_its_withdrawal_is_known(void)
+{
+	setup(NEAR_EXIT_MS, "silent");
+	g_assert_false(run_ms(1000));
+	g_assert_true(run_ms(GRACE_MS));
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* each test is counted by itself */
 	ADD_TEST("stop_callers", connections_just_opened_are_not_idle);
 	ADD_TEST("stop_callers", exit_waits_for_connections_just_opened);
+	ADD_TEST("stop_callers", stays_until_its_withdrawal_is_known);
 	return g_test_run();
 }
