--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,16 +1,46 @@
 #include "http/http_server.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "net/tcp.h"
 
 #define HEAD_BYTES 2048
 #define OPTION_BYTES 80
 #define OPTIONS_MAX 24
+#define WAKE_PERIOD_MS 10
+#define DRAIN_PERIOD_MS 5
 
 #define BODY_TOO_LONG (-1)
 #define BODY_INCOMPLETE (-2)
 
+/* Requests in progress; a process has one server. */
+static atomic_uint requests_in_progress;
+
+static int on_request_begin(struct mg_connection *connection)
+{
+	requests_in_progress++;
+	mg_set_user_connection_data(connection, &requests_in_progress);
+	return 0;
+}
+
+/* Also called for what is no request. */
+static void on_request_end(const struct mg_connection *connection, int status)
+{
+	(void)status;
+	if (!mg_get_user_connection_data(connection))
+		return;
+	mg_set_user_connection_data(connection, NULL);
+	requests_in_progress--;
+}
+
 struct mg_context *http_server_start(const struct http_server_options *options)
 {
 	char threads[OPTION_BYTES], keep_alive[OPTION_BYTES],
@@ -51,6 +81,8 @@
 	}
 	settings[used] = NULL;
 	memset(&callbacks, 0, sizeof(callbacks));
+	callbacks.begin_request = on_request_begin;
+	callbacks.end_request = on_request_end;
 	server = mg_start(&callbacks, NULL, settings);
 	if (!server)
 		fprintf(stderr,
@@ -59,6 +91,58 @@
 	return server;
 }
 
+/** Connects to a server until it is stopped. */
+struct waker {
+	struct sockaddr_in address;
+	atomic_bool stopped;
+};
+
+static void *run_waker(void *context)
+{
+	const struct timespec period = { 0, WAKE_PERIOD_MS * NS_PER_MS };
+	struct waker *waker = context;
+	int fd;
+
+	while (!waker->stopped) {
+		clock_nanosleep(CLOCK_MONOTONIC, 0, &period, NULL);
+		fd = tcp_open_socket(0);
+		if (fd < 0)
+			continue;
+		/* doesn't block; the connection itself is of no use */
+		(void)!connect(fd, (struct sockaddr *)&waker->address,
+			       sizeof(waker->address));
+		close(fd);
+	}
+	return NULL;
+}
+
+static void wait_for_requests(uint32_t limit_ms)
+{
+	const struct timespec period = { 0, DRAIN_PERIOD_MS * NS_PER_MS };
+	uint32_t ms;
+
+	for (ms = 0; requests_in_progress && ms < limit_ms; ms += DRAIN_PERIOD_MS)
+		clock_nanosleep(CLOCK_MONOTONIC, 0, &period, NULL);
+}
+
+void http_server_stop(struct mg_context *server, const char *address,
+		      uint32_t drain_ms)
+{
+	struct waker waker = { .stopped = false };
+	pthread_t thread;
+	bool started;
+
+	wait_for_requests(drain_ms);
+	/* the library looks for the end only when a connection arrives, or
+	 * every two seconds, and until then accepts what it will not answer */
+	started = tcp_parse_address(address, &waker.address) &&
+		  !pthread_create(&thread, NULL, run_waker, &waker);
+	mg_stop(server);
+	waker.stopped = true;
+	if (started)
+		pthread_join(thread, NULL);
+}
+
 static int64_t read_sized_body(struct mg_connection *connection, char *body,
 			       int64_t body_bytes)
 {
