test(proxy): four requests that the end of a shutdown still loses (known red)

**Problem**: review of the end of a shutdown. A request read behind another one on its connection is dropped; one sent behind a response that closes is cut; a check that comes late ends the process with its responses unsent; a request that another server has refused is sent with a millisecond left. **Solution**: a test for each. **Result**: all four fail on this code, the other five of the program pass.

--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -213,19 +213,26 @@
 	teardown();
 }
 
-/* Sends a request. @return the caller's end of its connection. */
-static int send_request(void)
+/* Sends a request on an open connection. */
+static void send_another_request(int fd)
 {
 	static const char text[] = "GET /note HTTP/1.1\r\nHost: a.example\r\n"
 				   "Request-Id: r1\r\nDeadline-Ms: 20000\r\n"
 				   "\r\n";
+
+	g_assert_cmpint(write(fd, text, strlen(text)), ==,
+			(ssize_t)strlen(text));
+}
+
+/* Sends a request. @return the caller's end of its connection. */
+static int send_request(void)
+{
 	int fds[2];
 
 	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
 			==, 0);
 	caller_accept(&proxy, fds[0]);
-	g_assert_cmpint(write(fds[1], text, strlen(text)), ==,
-			(ssize_t)strlen(text));
+	send_another_request(fds[1]);
 	return fds[1];
 }
 
@@ -243,6 +250,22 @@
 	return status;
 }
 
+/* @return the number of responses that have arrived. Closes the connection. */
+static uint32_t count_responses(int fd)
+{
+	char text[2048] = "";
+	const char *at = text;
+	uint32_t count = 0;
+
+	if (read(fd, text, sizeof(text) - 1) > 0)
+		while ((at = strstr(at, "HTTP/1.1 "))) {
+			count++;
+			at++;
+		}
+	close(fd);
+	return count;
+}
+
 /* Runs the loop for a time. @return whether the shutdown has ended. */
 static bool run_ms(uint32_t ms)
 {
@@ -386,6 +409,117 @@
 	teardown_requests();
 }
 
+/* The process has read the second request with the first one's connection: it
+ * must not close that connection without a response to it. */
+static void request_read_behind_another_is_answered(void)
+{
+	struct stop *stop;
+	int fd;
+
+	setup_requests(false);
+	run_ms(100);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(1000));
+	fd = send_request();
+	run_ms(100);
+	send_another_request(fd);
+	g_assert_true(run_ms(SHORT_EXIT_MS));
+	g_assert_cmpuint(count_responses(fd), ==, 2);
+	stop_free(stop);
+	teardown_requests();
+}
+
+/* The second response waits for the first and closes the connection; what is
+ * read behind it must be answered, or not be sent to a server. */
+static void nothing_is_sent_behind_the_last_response(void)
+{
+	struct stop *stop;
+	struct responder_request *second;
+	int fd;
+
+	setup_requests(false);
+	run_ms(100);
+	fd = send_request();
+	run_ms(100);
+	send_another_request(fd);
+	run_ms(100);
+	g_assert_cmpuint(queue.arrived, ==, 2);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	run_ms(100);
+	second = queue.waiting;
+	queue.waiting = NULL;
+	responder_reply(second, 503, "Not-Executed: 1\r\n", NULL);
+	run_ms(100);
+	send_another_request(fd);
+	g_assert_true(run_ms(SHORT_EXIT_MS + 500));
+	g_assert_cmpuint(count_responses(fd), ==, queue.arrived);
+	stop_free(stop);
+	teardown_requests();
+}
+
+/* The responses that a late check sends must leave before the process ends. */
+static void late_check_still_sends_responses(void)
+{
+	struct stop *stop;
+	int fd;
+
+	setup_requests(false);
+	run_ms(100);
+	fd = send_request();
+	run_ms(100);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(SHORT_EXIT_MS - 200));
+	clock_manual_advance_ms(&manual, 550);
+	g_assert_true(run_ms(1000));
+	g_assert_cmpint(take_status(fd), ==, 504);
+	stop_free(stop);
+	teardown_requests();
+}
+
+/* A server told that a millisecond is left cannot end the run: the caller must
+ * learn that the request has not run. */
+static void refused_request_is_not_sent_again_at_exit(void)
+{
+	struct server_entry entry = {
+		.id = (char *)"s2",
+		.service = (char *)"reg",
+		.failure_domain = (char *)"fyn-a",
+		.version = (char *)"v1",
+		.slots = 4,
+	};
+	struct responder_request *first;
+	struct responder *other;
+	struct stop *stop;
+	int fd;
+
+	setup_requests(false);
+	proxy.config->routes[0].idempotent = false;
+	proxy.config->routes[0].target_latency_ms = 20;
+	proxy.bounds.retry_extra = 20;
+	proxy.bounds.retry_window_ms = 10000;
+	other = listen_anywhere(handle_queued_request, NULL, &entry.address);
+	servers_put(proxy.servers, &entry);
+	run_ms(100);
+	fd = send_request();
+	run_ms(100);
+	g_assert_cmpuint(queue.arrived, ==, 1);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(SHORT_EXIT_MS - 75));
+	first = queue.waiting;
+	queue.waiting = NULL;
+	responder_reply(first, 503, "Not-Executed: 1\r\n", NULL);
+	g_assert_true(run_ms(1000));
+	g_assert_cmpuint(queue.arrived, ==, 1);
+	g_assert_cmpint(take_status(fd), ==, 503);
+	stop_free(stop);
+	responder_free(other);
+	teardown_requests();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -395,5 +529,9 @@
 	ADD_TEST("stop", queued_request_is_not_given_up_at_exit);
 	ADD_TEST("stop", request_without_response_is_answered_at_exit);
 	ADD_TEST("stop", request_long_after_sigterm_is_refused);
+	ADD_TEST("stop", request_read_behind_another_is_answered);
+	ADD_TEST("stop", nothing_is_sent_behind_the_last_response);
+	ADD_TEST("stop", late_check_still_sends_responses);
+	ADD_TEST("stop", refused_request_is_not_sent_again_at_exit);
 	return g_test_run();
 }
