--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -220,8 +220,7 @@
 				   "Request-Id: r1\r\nDeadline-Ms: 20000\r\n"
 				   "\r\n";
 
-	g_assert_cmpint(write(fd, text, strlen(text)), ==,
-			(ssize_t)strlen(text));
+	g_assert_cmpint(write(fd, text, strlen(text)), ==, (ssize_t)strlen(text));
 }
 
 /* Sends a request. @return the caller's end of its connection. */
@@ -520,6 +519,60 @@
 	teardown_requests();
 }
 
+/* A response that is being streamed goes on while the requests behind it get
+ * theirs. */
+static void streamed_response_goes_on_at_exit(void)
+{
+	char *chunk = g_malloc0(65536);
+	struct responder_request *first;
+	struct evbuffer *body = evbuffer_new();
+	char *zeros = g_malloc0(RESPONSE_BYTES);
+	GString *received = g_string_new(NULL);
+	struct stop *stop;
+	bool ended = false;
+	ssize_t bytes;
+	int tries;
+	int fd;
+
+	setup_requests(false);
+	run_ms(100);
+	fd = send_request();
+	run_ms(100);
+	send_another_request(fd);
+	first = queue.waiting;
+	queue.waiting = NULL;
+	run_ms(100);
+	send_another_request(fd);
+	run_ms(100);
+	g_assert_cmpuint(queue.arrived, ==, 3);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(SHORT_EXIT_MS - 150));
+	evbuffer_add(body, zeros, RESPONSE_BYTES);
+	responder_reply(first, 200, "Request-Id: r1\r\nResponse-Stamp: a.b\r\n",
+			body);
+	g_assert_false(run_ms(250));
+	for (tries = 0; tries < 200 && !ended; tries++) {
+		while ((bytes = read(fd, chunk, 65536)) > 0)
+			g_string_append_len(received, chunk, bytes);
+		ended = run_ms(5);
+	}
+	while ((bytes = read(fd, chunk, 65536)) > 0)
+		g_string_append_len(received, chunk, bytes);
+	g_assert_true(ended);
+	g_assert_cmpuint(received->len, >, RESPONSE_BYTES);
+	g_assert_nonnull(g_strstr_len(received->str, (gssize)received->len,
+				      "HTTP/1.1 200"));
+	g_assert_nonnull(memmem(received->str, received->len, "HTTP/1.1 504", 12));
+	close(fd);
+	g_string_free(received, true);
+	evbuffer_free(body);
+	g_free(zeros);
+	g_free(chunk);
+	stop_free(stop);
+	teardown_requests();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -533,5 +586,6 @@
 	ADD_TEST("stop", nothing_is_sent_behind_the_last_response);
 	ADD_TEST("stop", late_check_still_sends_responses);
 	ADD_TEST("stop", refused_request_is_not_sent_again_at_exit);
+	ADD_TEST("stop", streamed_response_goes_on_at_exit);
 	return g_test_run();
 }
