fix(proxy): a connection closes only if nothing was read behind its last request

Problem: a VM that shuts down wrote Connection: close on the response to the last request that was parsed. A request behind it could have been read already: it was dropped with the connection, or, where reading had been started before SIGTERM, sent to a server and then cut off. Solution: the response closes the connection only if no byte of another message has been read, and then nothing more is parsed.

--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -449,6 +449,15 @@
 					    BEV_TRIG_DEFER_CALLBACKS);
 }
 
+bool http_stream_stop_reading(struct http_stream *s)
+{
+	if (http_stream_has_message_begun(s))
+		return false;
+	s->paused = true;
+	http_parser_pause(&s->parser, 1);
+	return true;
+}
+
 void http_stream_expect_no_body(struct http_stream *s)
 {
 	s->no_body = true;
--- a/src/net/http_stream.h
+++ b/src/net/http_stream.h
@@ -109,6 +109,13 @@
 /** Starts parsing the next message, which may already be buffered. */
 void http_stream_read_next(struct http_stream *stream);
 
+/**
+ * Takes back http_stream_read_next().
+ *
+ * @return false, without effect, if bytes of the next message have been read.
+ */
+bool http_stream_stop_reading(struct http_stream *stream);
+
 /** Treats the next response as one to HEAD: no body, whatever its headers. */
 void http_stream_expect_no_body(struct http_stream *stream);
 
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -431,13 +431,18 @@
 }
 
 /* Whether the connection closes after this response. Requests that were read
- * behind it are answered first. */
-static bool must_close(const struct caller_request *request, bool close)
+ * behind it are answered first. If it closes, nothing more is read. */
+static bool must_close(struct caller_request *request, bool close)
 {
+	struct caller *caller = request->caller;
+
 	if (request->close_after_response || close || !request->is_read)
 		return true;
-	return request->caller->proxy->stopping &&
-	       last_request(request->caller) == request;
+	if (!caller->proxy->stopping || last_request(caller) != request ||
+	    !http_stream_stop_reading(caller->stream))
+		return false;
+	caller->reading = false;
+	return true;
 }
 
 void caller_write_head(struct caller_request *request, uint16_t status,
