fix(proxy): no request is sent to a server with no time left before the exit

Problem: a retry in the last 120 ms of a shutdown was placed by the request's own deadline and sent with one of a millisecond: an order that its first server had refused was answered 504, may have run, instead of 503. Servers count their deadline from when they read a request: one that reads late reported after this VM's own response. Solution: the deadline is limited before a server is selected, and ends 400 ms before the exit. Result: refused_request_is_not_sent_again_at_exit failed before (504 and 2 arrivals), and passes with the other tests of stop_test.

--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -25,6 +25,9 @@
 /* Added to the time limit, so that the server's own response at its deadline
  * can still arrive. */
 #define LATE_RESPONSE_GRACE_MS 120
+/* Time before the exit of this process in which a server reports that the time
+ * is up, also one that has read the request late. */
+#define EXIT_REPORT_MS 400
 /* A server is considered slow if it takes this many times the expected
  * latency. */
 #define SLOW_FACTOR 2
@@ -443,7 +446,7 @@
 static void limit_deadline_to_exit(struct exchange *e)
 {
 	const struct proxy *proxy = e->proxy;
-	int64_t limit_ms = proxy->exit_deadline_ms - LATE_RESPONSE_GRACE_MS;
+	int64_t limit_ms = proxy->exit_deadline_ms - EXIT_REPORT_MS;
 
 	if (!proxy->stopping || e->deadline_ms <= limit_ms)
 		return;
@@ -456,8 +459,10 @@
 static void start_attempt(struct exchange *e, const char *retry_reason)
 {
 	const char *refusal;
-	struct server *server = exchange_select_server(e, retry_reason, &refusal);
+	struct server *server;
 
+	limit_deadline_to_exit(e);
+	server = exchange_select_server(e, retry_reason, &refusal);
 	if (!server) {
 		counter_add(COUNTER_REFUSED_FULL, 1);
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
@@ -466,7 +471,6 @@
 	}
 	if (retry_reason)
 		counter_add(COUNTER_RETRIES, 1);
-	limit_deadline_to_exit(e);
 	e->attempt =
 		attempt_start(e->proxy, server, &e->request, &attempt_events, e);
 	if (!e->attempt)
