fix(proxy): callers leave from when the store knows of a withdrawal

Problem: the 3.2 s after which a stopping VM accepts no connections counted from SIGTERM. With the store silent the other VMs went on naming it for over 4 s after its exit. Solution: the time counts from the store's response to the withdrawal; without one the VM goes on until its exit deadline.

--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -33,7 +33,8 @@
 	uint32_t retry_ms; /* 0: the last call succeeded */
 	bool key_written;  /* the key is bound to the lease */
 	bool withdrawn;
-	bool failing; /* the last call failed */
+	bool withdrawal_known; /* to the store */
+	bool failing;	       /* the last call failed */
 	const struct presence_events *events;
 	void *context;
 };
@@ -178,8 +179,10 @@
 	(void)body;
 	(void)bytes;
 	log_info("presence", "registration withdrawn status=%u", status);
+	p->withdrawal_known =
+		status == KV_STATUS_OK || status == KV_STATUS_NOT_FOUND;
 	/* the response may not arrive: revoking a lease twice is safe */
-	if (status != KV_STATUS_OK && status != KV_STATUS_NOT_FOUND)
+	if (!p->withdrawal_known)
 		schedule_retry(p);
 }
 
@@ -254,6 +257,13 @@
 	kv_channel_cancel(p->channel);
 	if (p->lease)
 		end_lease(p);
+	else
+		p->withdrawal_known = true;
+}
+
+bool presence_is_withdrawal_known(const struct presence *p)
+{
+	return p->withdrawal_known;
 }
 
 void presence_free(struct presence *p)
--- a/src/kv/presence.h
+++ b/src/kv/presence.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 
 /**
  * @file
@@ -52,6 +53,10 @@
 /** Revokes the lease, which removes the key at once. */
 void presence_withdraw(struct presence *presence);
 
+/** @return whether the store has removed the key after presence_withdraw(), or
+ * never had it. */
+bool presence_is_withdrawal_known(const struct presence *presence);
+
 void presence_free(struct presence *presence);
 
 #endif
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -11,8 +11,8 @@
 /* Interval between checks of the shutdown's progress. */
 #define CHECK_INTERVAL_MS 100
 /* Callers cache directory responses for one second, some for three; this VM
- * accepts their connections until then. */
-#define DIRECTORY_CACHE_MS 3200
+ * accepts their connections for this time after the store knows that it leaves. */
+#define DIRECTORY_CACHE_MS 3100
 /* Requests are refused from this time on; those that came with their
  * connection, before the listener closed, have been read by then. */
 #define REFUSE_AFTER_MS (DIRECTORY_CACHE_MS + CHECK_INTERVAL_MS)
@@ -29,6 +29,7 @@
 	struct event *signals[2];
 	struct event *timer;
 	int64_t started_ms;
+	int64_t withdrawn_ms;	   /* when the store knew of it; 0: not yet */
 	int64_t last_responses_ms; /* when they were written; 0: not yet */
 };
 
@@ -39,6 +40,29 @@
 	proxy->listener = NULL;
 }
 
+/* Begins the time in which callers leave. Until the store knows of the
+ * withdrawal, the other VMs go on naming this one to callers. */
+static void check_withdrawal(struct stop *stop)
+{
+	struct proxy *proxy = stop->proxy;
+	int64_t now_ms = proxy_now_ms(proxy);
+
+	if (stop->withdrawn_ms || !presence_is_withdrawal_known(proxy->presence))
+		return;
+	stop->withdrawn_ms = now_ms;
+	proxy->refuse_from_ms =
+		MIN(now_ms + REFUSE_AFTER_MS, proxy->exit_deadline_ms);
+}
+
+/* @return whether the responses of the directory that name this VM have
+ * expired. */
+static bool has_left_directory(const struct stop *stop)
+{
+	return stop->withdrawn_ms &&
+	       proxy_now_ms(stop->proxy) - stop->withdrawn_ms >=
+		       DIRECTORY_CACHE_MS;
+}
+
 /* Whether the process may exit. At its deadline it first responds to the
  * requests that are left. */
 static bool may_exit(struct stop *stop)
@@ -53,8 +77,7 @@
 	if (stop->last_responses_ms &&
 	    now_ms >= stop->last_responses_ms + LAST_RESPONSES_MS)
 		return true;
-	return now_ms - stop->started_ms >= DIRECTORY_CACHE_MS &&
-	       callers_have_left(proxy);
+	return has_left_directory(stop) && callers_have_left(proxy);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -65,9 +88,11 @@
 
 	(void)fd;
 	(void)what;
+	check_withdrawal(stop);
 	if (age_ms >= CLOSE_IDLE_AFTER_MS)
 		callers_close_idle(proxy);
-	if (age_ms >= DIRECTORY_CACHE_MS)
+	if (has_left_directory(stop) ||
+	    proxy_now_ms(proxy) >= proxy->exit_deadline_ms)
 		stop_accepting(proxy);
 	if (may_exit(stop)) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
@@ -93,8 +118,7 @@
 	stop->proxy->exit_deadline_ms =
 		stop->started_ms - EXIT_RESERVE_MS +
 		(int64_t)stop->proxy->bounds.stop_grace_ms;
-	stop->proxy->refuse_from_ms = MIN(stop->started_ms + REFUSE_AFTER_MS,
-					  stop->proxy->exit_deadline_ms);
+	stop->proxy->refuse_from_ms = stop->proxy->exit_deadline_ms;
 	presence_withdraw(stop->proxy->presence);
 	on_timer(-1, 0, stop);
 }
