--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -74,6 +74,10 @@
 	[GAUGE_LEAVING] = { "leaving", "1 during a planned stop" },
 	[GAUGE_STORE_REACHABLE] = { "store_reachable",
 				    "1 while the store answers" },
+	[GAUGE_CUT_OFF] = { "cut_off",
+			    "1 while no backend server can be connected to" },
+	[GAUGE_VMS_CUT_OFF] = { "vms_cut_off",
+				"live entry VMs that say they are cut off" },
 };
 
 static atomic_uint_fast64_t counters[COUNTER_COUNT];
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -263,6 +263,18 @@
 	return g_hash_table_size(servers->by_id);
 }
 
+void servers_for_each(const struct servers *servers,
+		      void (*visit)(struct server *server, void *context),
+		      void *context)
+{
+	GHashTableIter iter;
+	gpointer server;
+
+	g_hash_table_iter_init(&iter, servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		visit(server, context);
+}
+
 void servers_mark_cold(struct servers *servers, const char *failure_domain,
 		       uint32_t ms)
 {
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -68,6 +68,10 @@
 const GPtrArray *servers_for_service(const struct servers *servers,
 				     const char *service);
 uint32_t servers_count(const struct servers *servers);
+/** Calls a function for each listed server. */
+void servers_for_each(const struct servers *servers,
+		      void (*visit)(struct server *server, void *context),
+		      void *context);
 
 /** Treats all servers of a failure domain as cold for the next `ms`. */
 void servers_mark_cold(struct servers *servers, const char *failure_domain,
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -11,6 +11,7 @@
 #include "platform/header_codec.h"
 #include "proxy/headers.h"
 #include "proxy/pool.h"
+#include "proxy/reach_watch.h"
 
 /* Connecting takes one round trip, 70 ms between regions. Waiting for the
  * retransmission of a lost SYN would take a second. */
@@ -107,6 +108,7 @@
 	struct attempt *a = context;
 
 	evtimer_del(a->connect_timer);
+	reach_watch_connected(a->proxy->reach);
 	server_update_rtt(a->server, attempt_elapsed_ms(a));
 	send_request(a);
 }
@@ -118,6 +120,7 @@
 	(void)fd;
 	(void)what;
 	close_connection(a);
+	reach_watch_failed(a->proxy->reach, a->server);
 	finish(a, ATTEMPT_NOT_CONNECTED);
 }
 
@@ -250,6 +253,8 @@
 {
 	struct attempt *a = context;
 
+	if (end == HTTP_END_TIMED_OUT || !a->sent)
+		reach_watch_failed(a->proxy->reach, a->server);
 	if (end == HTTP_END_TIMED_OUT) {
 		fail_server_attempts(a->server);
 		return;
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -18,6 +18,7 @@
 #include "proxy/crash.h"
 #include "proxy/directory.h"
 #include "proxy/pause.h"
+#include "proxy/reach_watch.h"
 #include "proxy/reload.h"
 #include "proxy/status.h"
 #include "proxy/stop.h"
@@ -156,7 +157,8 @@
 	if (!open_listeners(entry))
 		return false;
 	proxy->crashes = crash_watch_new(proxy, &store);
-	if (!proxy->crashes)
+	proxy->reach = reach_watch_new(proxy);
+	if (!proxy->crashes || !proxy->reach)
 		return false;
 	proxy->store_sync = store_sync_new(proxy, &store);
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
@@ -187,6 +189,7 @@
 	presence_free(proxy->presence);
 	store_sync_free(proxy->store_sync);
 	crash_watch_free(proxy->crashes);
+	reach_watch_free(proxy->reach);
 	responder_free(entry->metrics);
 	responder_free(entry->directory);
 	responder_free(entry->ready);
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -26,6 +26,7 @@
 struct store_sync;
 struct presence;
 struct crash_watch;
+struct reach_watch;
 
 /** Per-service state of this VM, beside the service's servers. */
 struct service_state {
@@ -55,6 +56,7 @@
 	struct store_sync *store_sync;
 	struct presence *presence;
 	struct crash_watch *crashes;
+	struct reach_watch *reach;
 	GHashTable *service_states; /**< name to struct service_state */
 	GHashTable *route_states;   /**< name to struct route_state */
 	struct object_cache object_cache;
