feat(fleet): an entry VM's key may say that it is cut off

Problem: being listed means that a VM runs and reaches the store; no VM can know that another one reaches no server. Solution: a field cut_off in the value of a VM's key, left out while it is false: earlier builds read it as before, and their entries count as sound. presence_set_value() writes another value under the same lease. Metric vms_cut_off, field cut_off in the status, lines of part vms.

--- a/src/fleet/vms.c
+++ b/src/fleet/vms.c
@@ -42,18 +42,51 @@
 }
 
 char *vms_encode_entry(const char *address, const char *failure_domain,
-		       const char *relay_address, const char *status_address)
+		       const char *relay_address, const char *status_address,
+		       bool cut_off)
 {
 	json_t *root =
 		json_pack("{s:s,s:s,s:s,s:s}", "address", address,
 			  "failure_domain", failure_domain, "relay_address",
 			  relay_address, "status_address", status_address);
-	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+	char *text;
+
+	if (cut_off)
+		json_object_set_new(root, "cut_off", json_true());
+	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
 	json_decref(root);
 	return text;
 }
 
+static const struct vm *find_by_name(const struct vms *vms, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < vms->all->len; i++) {
+		const struct vm *vm = g_ptr_array_index(vms->all, i);
+
+		if (!strcmp(vm->name, name))
+			return vm;
+	}
+	return NULL;
+}
+
+static void log_put(const struct vms *vms, const char *name, const char *domain,
+		    const char *address, bool cut_off)
+{
+	const struct vm *before = find_by_name(vms, name);
+
+	if (!before)
+		log_info("vms", "VM joined vm=%s domain=%s address=%s", name,
+			 domain, address);
+	if (cut_off != (before && before->cut_off))
+		log_info("vms", "%s vm=%s",
+			 cut_off ? "VM is cut off from all servers"
+				 : "VM is no longer cut off",
+			 name);
+}
+
 static bool remove_by_name(struct vms *vms, const char *name)
 {
 	guint i;
@@ -76,18 +109,18 @@
 	const char *domain = NULL;
 	const char *relay = "";
 	const char *status = "";
+	int cut_off = 0;
 	struct vm *vm;
 
-	if (json_unpack(root, "{s:s,s:s,s?s,s?s}", "address", &address,
+	if (json_unpack(root, "{s:s,s:s,s?s,s?s,s?b}", "address", &address,
 			"failure_domain", &domain, "relay_address", &relay,
-			"status_address", &status) ||
+			"status_address", &status, "cut_off", &cut_off) ||
 	    !schema_is_address(address)) {
 		log_warn("vms", "invalid entry of a VM is ignored vm=%s", name);
 		goto out;
 	}
-	if (!remove_by_name(vms, name))
-		log_info("vms", "VM joined vm=%s domain=%s address=%s", name,
-			 domain, address);
+	log_put(vms, name, domain, address, cut_off);
+	remove_by_name(vms, name);
 	vm = g_new0(struct vm, 1);
 	vm->name = strdup(name);
 	vm->address = strdup(address);
@@ -97,6 +130,7 @@
 	vm->hash = XXH3_64bits(name, strlen(name));
 	vm->has_relay = schema_is_address(relay) &&
 			tcp_parse_address(relay, &vm->relay);
+	vm->cut_off = cut_off;
 	g_ptr_array_add(vms->all, vm);
 out:
 	json_decref(root);
@@ -142,6 +176,16 @@
 	}
 }
 
+uint32_t vms_count_cut_off(const struct vms *vms)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < vms->all->len; i++)
+		count += ((struct vm *)g_ptr_array_index(vms->all, i))->cut_off;
+	return count;
+}
+
 uint32_t vms_count_in_region(const struct vms *vms, const char *region)
 {
 	uint32_t count = 0;
--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -30,6 +30,7 @@
 	struct sockaddr_in relay;     /**< where it serves reads of the store */
 	int64_t relay_unfit_until_ms; /**< see vms_mark_relay_unfit() */
 	bool has_relay;
+	bool cut_off; /**< it says that it can connect to no backend server */
 };
 
 struct vms;
@@ -40,12 +41,13 @@
 /**
  * @param relay_address where this VM serves reads of the store; "": nowhere.
  * @param status_address where it serves its status and metrics; "": nowhere.
+ * @param cut_off whether it can connect to no backend server.
  * @return the JSON text to register for this VM, which the caller frees; NULL
  * on error.
  */
 MUST_USE char *vms_encode_entry(const char *address, const char *failure_domain,
 				const char *relay_address,
-				const char *status_address);
+				const char *status_address, bool cut_off);
 
 /** Adds or replaces a VM; text that is invalid is logged and ignored. */
 void vms_put(struct vms *vms, const char *name, const char *text, size_t bytes);
@@ -68,6 +70,9 @@
  * registers again. */
 void vms_mark_relay_unfit(struct vms *vms, const char *name, int64_t until_ms);
 
+/** @return the number of live VMs that say they are cut off. */
+uint32_t vms_count_cut_off(const struct vms *vms);
+
 /** @return the number of live VMs in a region (an interned name). */
 uint32_t vms_count_in_region(const struct vms *vms, const char *region);
 
--- a/src/kv/presence.c
+++ b/src/kv/presence.c
@@ -30,14 +30,21 @@
 	uint64_t era; /* of the store, in which the lease was granted; 0: unknown */
 	uint64_t lease; /* 0: none */
 	uint32_t renew_ms;
-	uint32_t retry_ms; /* 0: the last call succeeded */
-	bool key_written;  /* the key is bound to the lease */
+	uint32_t retry_ms;  /* 0: the last call succeeded */
+	bool key_written;   /* the key is bound to the lease */
+	bool has_new_value; /* not sent yet */
 	bool withdrawn;
 	bool failing; /* the last call failed */
 	const struct presence_events *events;
 	void *context;
 };
 
+/* Starts the timer of the next renewal, or of a write that waits. */
+static void schedule_renewal(struct presence *p)
+{
+	timer_start(p->timer, p->has_new_value ? 0 : p->renew_ms);
+}
+
 /* Starts the timer of the next call after a failed one. */
 static void schedule_retry(struct presence *p)
 {
@@ -111,7 +118,7 @@
 	if (status == KV_STATUS_NOT_FOUND)
 		p->lease = 0;
 	if (p->key_written)
-		timer_start(p->timer, p->renew_ms);
+		schedule_renewal(p);
 	else
 		schedule_retry(p);
 }
@@ -120,6 +127,7 @@
 {
 	struct kv_call call;
 
+	p->has_new_value = false;
 	kv_call_put(&call, p->key, p->value, p->lease);
 	kv_channel_send(p->channel, &call, CALL_TIMEOUT_MS, on_key_written, p);
 }
@@ -165,7 +173,7 @@
 		return;
 	}
 	if (status == KV_STATUS_OK)
-		timer_start(p->timer, p->renew_ms);
+		schedule_renewal(p);
 	else
 		schedule_retry(p);
 }
@@ -206,7 +214,7 @@
 		kv_call_lease_grant(&call, LEASE_TTL_MS);
 		kv_channel_send(p->channel, &call, CALL_TIMEOUT_MS, on_granted,
 				p);
-	} else if (!p->key_written) {
+	} else if (!p->key_written || p->has_new_value) {
 		write_key(p);
 	} else {
 		kv_call_lease_keep_alive(&call, p->lease);
@@ -245,6 +253,16 @@
 	p->renew_ms = renew_ms;
 }
 
+void presence_set_value(struct presence *p, const char *value)
+{
+	free(p->value);
+	p->value = strdup(value);
+	p->has_new_value = true;
+	/* while calls fail, the value goes with the next one */
+	if (!p->withdrawn && p->lease && !p->retry_ms)
+		timer_start(p->timer, 0);
+}
+
 void presence_withdraw(struct presence *p)
 {
 	if (p->withdrawn)
--- a/src/kv/presence.h
+++ b/src/kv/presence.h
@@ -49,6 +49,10 @@
  * store sooner. */
 void presence_set_renew_interval(struct presence *presence, uint32_t renew_ms);
 
+/** Writes another value (copied) to the key, under the same lease if there is
+ * one. */
+void presence_set_value(struct presence *presence, const char *value);
+
 /** Revokes the lease, which removes the key at once. */
 void presence_withdraw(struct presence *presence);
 
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -164,7 +164,7 @@
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
 	text = vms_encode_entry(settings->request_address,
 				settings->failure_domain, settings->relay_address,
-				settings->metrics_address);
+				settings->metrics_address, false);
 	proxy->presence = presence_new(proxy->base, &store, key, text,
 				       &presence_events, proxy->store_sync);
 	g_free(key);
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -19,11 +19,12 @@
 	for (i = 0; i < all->len; i++) {
 		const struct vm *vm = g_ptr_array_index(all, i);
 
-		json_array_append_new(list, json_pack("{s:s,s:s,s:s}", "vm",
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:b}", "vm",
 						      vm->name, "failure_domain",
 						      vm->failure_domain,
 						      "status_address",
-						      vm->status_address));
+						      vm->status_address,
+						      "cut_off", vm->cut_off));
 	}
 	return list;
 }
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -206,6 +206,12 @@
 	servers_log_changes(store_sync->proxy->servers);
 }
 
+static void count_vms(const struct proxy *proxy)
+{
+	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
+	gauge_set(GAUGE_VMS_CUT_OFF, vms_count_cut_off(proxy->vms));
+}
+
 static void on_fleet_put(void *context, const struct kv_item *item)
 {
 	struct proxy *proxy = ((struct store_sync *)context)->proxy;
@@ -216,7 +222,7 @@
 		vms_put(proxy->vms, vm, item->value, item->value_bytes);
 	else if (crash)
 		crash_apply_report(proxy->crashes, crash);
-	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
+	count_vms(proxy);
 }
 
 static void on_fleet_removed(void *context, const char *key)
@@ -226,7 +232,7 @@
 
 	if (vm)
 		vms_remove(proxy->vms, vm);
-	gauge_set(GAUGE_MEMBERS_LIVE, vms_all(proxy->vms)->len);
+	count_vms(proxy);
 }
 
 /* Directs reads to the relay of this failure domain, unless this VM is the
--- a/test/unit/kv/presence_test.c
+++ b/test/unit/kv/presence_test.c
@@ -18,11 +18,16 @@
 static struct presence *presence;
 static struct mirror *mirror;
 static bool is_listed;
+static char value[16]; /* as last listed */
+static uint32_t put_count;
 
 static void on_put(void *context, const struct kv_item *item)
 {
 	(void)context;
-	(void)item;
+	g_assert_cmpuint(item->value_bytes, <, sizeof(value));
+	memcpy(value, item->value, item->value_bytes);
+	value[item->value_bytes] = '\0';
+	put_count++;
 	is_listed = true;
 }
 
@@ -127,10 +132,60 @@
 	teardown();
 }
 
+/* The new value is written at once, once, and kept by renewals. */
+static void another_value_is_written_at_once(void)
+{
+	uint64_t calls;
+
+	setup();
+	put_count = 0;
+	calls = platform_kv_call_count(kv);
+	presence_set_value(presence, "{\"a\":1}");
+	run_ms(200);
+	g_assert_cmpstr(value, ==, "{\"a\":1}");
+	/* the put and a watch */
+	g_assert_cmpuint(platform_kv_call_count(kv) - calls, <=, 2);
+	run_ms(2500);
+	g_assert_cmpuint(put_count, ==, 1);
+	g_assert_true(is_listed);
+	teardown();
+}
+
+/* The value changes while a call is in progress, twice. */
+static void the_latest_value_is_written(void)
+{
+	setup();
+	presence_set_value(presence, "{\"a\":1}");
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	presence_set_value(presence, "{\"a\":2}");
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	presence_set_value(presence, "{\"a\":3}");
+	run_ms(400);
+	g_assert_cmpstr(value, ==, "{\"a\":3}");
+	teardown();
+}
+
+/* The store is down meanwhile, and the lease expires. */
+static void another_value_outlasts_an_outage(void)
+{
+	setup();
+	platform_kv_set_fault(kv, "busy");
+	presence_set_value(presence, "{\"a\":1}");
+	run_ms(5000);
+	platform_kv_set_fault(kv, "sound");
+	run_ms(4500);
+	g_assert_true(is_listed);
+	g_assert_cmpstr(value, ==, "{\"a\":1}");
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("presence", registers_again_in_a_new_era);
 	ADD_TEST("presence", failed_calls_are_spaced_out);
+	ADD_TEST("presence", another_value_is_written_at_once);
+	ADD_TEST("presence", the_latest_value_is_written);
+	ADD_TEST("presence", another_value_outlasts_an_outage);
 	return g_test_run();
 }
--- a/test/unit/proxy/store_sync_test.c
+++ b/test/unit/proxy/store_sync_test.c
@@ -104,8 +104,8 @@
 static void register_vm(const struct vm_under_test *vm)
 {
 	char *key = g_strconcat(VMS_KEY_PREFIX, vm->name, NULL);
-	char *text =
-		vms_encode_entry("127.0.0.1:1", "fyn-a", vm->relay_address, "");
+	char *text = vms_encode_entry("127.0.0.1:1", "fyn-a", vm->relay_address,
+				      "", false);
 
 	platform_kv_put(kv, key, text);
 	g_free(key);
