fix(directory): leave out VMs that can connect to no server

Problem: directories named VMs for as long as they were partitioned from all servers, up to 13 s, and callers sent them as many requests as before. Solution: a VM that is cut off writes so to its key, at once, at most once a second. Directories leave such VMs out; each VM knows of itself without the store. The servers' failures of that time are then forgotten, because the cause was the VM's own network; they were avoided for up to 8 s.

--- a/src/decide/reach.c
+++ b/src/decide/reach.c
@@ -11,11 +11,19 @@
 #define ROUND_INTERVAL_MS 1000
 #define PROBE_INTERVAL_MS 250
 
-void reach_record_connected(struct reach *reach, int64_t now_ms)
+void reach_record_connected(struct reach *reach, uint64_t server_hash,
+			    int64_t now_ms)
 {
+	if (reach->state == REACH_CUT_OFF && reach->servers > 1 &&
+	    (!reach->connected_hash || reach->connected_hash == server_hash)) {
+		reach->connected_hash = server_hash;
+		reach->next_probe_ms = now_ms;
+		return;
+	}
 	if (reach->state != REACH_UP)
 		reach->next_probe_ms = now_ms + ROUND_INTERVAL_MS;
 	reach->state = REACH_UP;
+	reach->connected_hash = 0;
 	reach->failed_count = 0;
 	reach->probes_left = 0;
 }
@@ -48,6 +56,7 @@
 void reach_record_failed(struct reach *reach, uint64_t server_hash,
 			 const char *failure_domain, int64_t now_ms)
 {
+	reach->connected_hash = 0;
 	forget_failures(reach, server_hash, now_ms);
 	if (!reach->failed_count)
 		reach->first_failure_ms = now_ms;
@@ -68,9 +77,10 @@
 
 uint32_t reach_begin_probes(struct reach *reach, uint32_t servers, int64_t now_ms)
 {
+	reach->servers = servers;
 	/* a single server that fails cannot be told from a cut */
-	if (now_ms < reach->next_probe_ms || servers < SUSPECT_SERVERS ||
-	    reach->state == REACH_SUSPECT)
+	if (now_ms < reach->next_probe_ms || reach->state == REACH_SUSPECT ||
+	    servers < (reach->state == REACH_UP ? SUSPECT_SERVERS : 1))
 		return 0;
 	if (reach->state == REACH_CUT_OFF) {
 		reach->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
@@ -105,7 +115,7 @@
 			   const uint32_t *chosen, uint32_t chosen_count,
 			   const struct reach_candidate *candidate)
 {
-	uint32_t same = 0;
+	uint32_t same = candidate->server_hash == reach->connected_hash;
 	uint32_t i;
 
 	for (i = 0; i < reach->failed_count; i++)
--- a/src/decide/reach.h
+++ b/src/decide/reach.h
@@ -41,6 +41,9 @@
 	int64_t first_failure_ms; /**< of those since the last success */
 	uint32_t probes_left;	  /**< of this round, yet to fail */
 	int64_t next_probe_ms;	  /**< no probe begins before */
+	uint32_t servers;	  /**< that could be probed lately */
+	uint64_t connected_hash;  /**< while cut off: server that was connected
+				     to  last, with no failure since; 0: none */
 };
 
 /** A server that could be probed. */
@@ -50,8 +53,11 @@
 	const char *service;
 };
 
-/** Records that a connection to a server was established. */
-void reach_record_connected(struct reach *reach, int64_t now_ms);
+/** Records that a connection to a server was established. A cut ends when two
+ * different servers were connected to in a row: a VM that reaches one of many
+ * servers is of no use to callers. */
+void reach_record_connected(struct reach *reach, uint64_t server_hash,
+			    int64_t now_ms);
 
 /** Records that a server could not be connected to, or that its kernel stopped
  * acknowledging data. */
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -340,11 +340,27 @@
 
 void server_record_unreachable(struct server *server, int64_t now_ms)
 {
+	server->unreachable_ms = now_ms;
+	server->responded_ms = 0;
 	server->consecutive_failures =
 		MAX(server->consecutive_failures, AVOID_FAILURES_MIN);
 	server_record_failure(server, "silent", now_ms);
 }
 
+void servers_forget_unreachable(struct servers *servers, int64_t since_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct server *server = value;
+
+		if (server->unreachable_ms >= since_ms && server->unreachable_ms)
+			server_record_success(server);
+	}
+}
+
 void server_record_slow_response(struct server *server, int64_t now_ms)
 {
 	server->consecutive_failures =
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -39,6 +39,8 @@
 	struct load_view load;
 	uint32_t rtt_ms; /**< estimated round-trip time; 0: unknown */
 	uint32_t consecutive_failures; /**< reset by a success */
+	int64_t unreachable_ms;	       /**< last time it was; 0: never */
+	int64_t responded_ms;	/**< last time on a connection that is open */
 	int64_t avoid_until_ms; /**< until then, used only when others are full */
 	struct server_connection *idle; /**< newest first; owned by the pool */
 	uint32_t connection_count;
@@ -96,6 +98,9 @@
 			   int64_t now_ms);
 /** Records that the server is unreachable; it is avoided at once. */
 void server_record_unreachable(struct server *server, int64_t now_ms);
+/** Forgets the failures of servers that were unreachable since then: not they
+ * but this VM's own network was the cause. */
+void servers_forget_unreachable(struct servers *servers, int64_t since_ms);
 /** Records that the server took several times the expected time; it is avoided
  * at once. */
 void server_record_slow_response(struct server *server, int64_t now_ms);
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -108,7 +108,7 @@
 	struct attempt *a = context;
 
 	evtimer_del(a->connect_timer);
-	reach_watch_connected(a->proxy->reach);
+	reach_watch_connected(a->proxy->reach, a->server);
 	server_update_rtt(a->server, attempt_elapsed_ms(a));
 	send_request(a);
 }
@@ -175,6 +175,7 @@
 		return;
 	}
 	a->response_started = true;
+	a->server->responded_ms = proxy_now_ms(a->proxy);
 	a->status = head->status;
 	a->keep_alive = head->keep_alive;
 	a->expected_body_bytes = head->content_length;
--- a/src/proxy/directory.c
+++ b/src/proxy/directory.c
@@ -4,16 +4,52 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "decide/naming.h"
 #include "platform/directory_codec.h"
+#include "proxy/reach_watch.h"
 
 /* Callers cache a response this long; a VM that shuts down accepts connections
  * until then. */
 #define RESPONSE_TTL_S 1
 
+/* This VM knows of itself before the store does. */
+static bool is_cut_off(const struct proxy *proxy, const struct vm *vm)
+{
+	if (!strcmp(vm->name, proxy->settings->name))
+		return reach_watch_is_cut_off(proxy->reach);
+	return vm->cut_off;
+}
+
+static bool is_in_region(const struct vm *vm, const char *region)
+{
+	return vm->region && !strcmp(vm->region, region);
+}
+
+static struct naming_counts count_vms(const struct proxy *proxy,
+				      const char *region)
+{
+	const GPtrArray *all = vms_all(proxy->vms);
+	struct naming_counts counts = { .all = all->len };
+	guint i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct vm *vm = g_ptr_array_index(all, i);
+		const bool sound = !is_cut_off(proxy, vm);
+		const bool near = is_in_region(vm, region);
+
+		counts.all_sound += sound;
+		counts.region += near;
+		counts.region_sound += near && sound;
+	}
+	return counts;
+}
+
 static uint32_t collect_addresses(const struct proxy *proxy, const char *region,
 				  const char **addresses)
 {
 	const GPtrArray *all = vms_all(proxy->vms);
+	const struct naming_counts counts = count_vms(proxy, region);
+	const struct naming naming = naming_choose(&counts);
 	uint32_t count = 0;
 	uint32_t start;
 	guint i;
@@ -27,7 +63,8 @@
 		const struct vm *vm =
 			g_ptr_array_index(all, (start + i) % all->len);
 
-		if (!region || (vm->region && !strcmp(vm->region, region)))
+		if ((naming.other_regions || is_in_region(vm, region)) &&
+		    (naming.cut_off || !is_cut_off(proxy, vm)))
 			addresses[count++] = vm->address;
 	}
 	return count;
@@ -48,8 +85,6 @@
 	}
 	counter_add(COUNTER_LOOKUPS, 1);
 	count = collect_addresses(proxy, query.region, addresses);
-	if (!count)
-		count = collect_addresses(proxy, NULL, addresses);
 	if (!count && !proxy->stopping)
 		addresses[count++] = proxy->settings->request_address;
 	if (!count) {
--- a/src/proxy/reach_watch.c
+++ b/src/proxy/reach_watch.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "decide/reach.h"
+#include "kv/presence.h"
 #include "net/http_stream.h"
 #include "net/timer.h"
 
@@ -14,6 +15,10 @@
 #define PROBE_ACK_TIMEOUT_MS 500
 /* Interval between checks while this VM is cut off. */
 #define CHECK_INTERVAL_MS 50
+/* The entry in the store says that the cut is over when it has been for this
+ * long, and is not written again sooner than this. */
+#define CUT_ENDED_HOLD_MS 300
+#define ENTRY_INTERVAL_MS 1000
 /* Limit on the servers that a probe is chosen from. */
 #define CANDIDATES_MAX 1024
 
@@ -30,6 +35,9 @@
 	struct event *timer;
 	GQueue probes;
 	int64_t cut_off_ms; /* since when this VM has been cut off */
+	struct event *entry_timer;
+	int64_t entry_written_ms;
+	bool entry_says_cut_off;
 };
 
 /* Static because all choices run on the event loop's only thread. */
@@ -45,6 +53,41 @@
 	g_free(probe);
 }
 
+static void on_entry_timer(evutil_socket_t fd, short what, void *context)
+{
+	struct reach_watch *watch = context;
+	const struct proxy_settings *settings = watch->proxy->settings;
+	const bool cut_off = reach_watch_is_cut_off(watch);
+	char *text;
+
+	(void)fd;
+	(void)what;
+	if (cut_off == watch->entry_says_cut_off || !watch->proxy->presence)
+		return;
+	text = vms_encode_entry(settings->request_address,
+				settings->failure_domain, settings->relay_address,
+				settings->metrics_address, cut_off);
+	if (!text)
+		return;
+	watch->entry_says_cut_off = cut_off;
+	watch->entry_written_ms = proxy_now_ms(watch->proxy);
+	presence_set_value(watch->proxy->presence, text);
+	free(text);
+}
+
+static void schedule_entry(struct reach_watch *watch, int64_t now_ms)
+{
+	const int64_t hold_ms =
+		reach_watch_is_cut_off(watch) ? 0 : CUT_ENDED_HOLD_MS;
+	const int64_t earliest_ms = watch->entry_written_ms + ENTRY_INTERVAL_MS;
+
+	if (watch->entry_written_ms)
+		timer_start(watch->entry_timer,
+			    MAX(earliest_ms - now_ms, hold_ms));
+	else
+		timer_start(watch->entry_timer, hold_ms);
+}
+
 static void report_change(struct reach_watch *watch, enum reach_state before)
 {
 	const struct reach *reach = &watch->reach;
@@ -53,6 +96,7 @@
 	if ((before == REACH_CUT_OFF) == (reach->state == REACH_CUT_OFF))
 		return;
 	gauge_set(GAUGE_CUT_OFF, reach->state == REACH_CUT_OFF);
+	schedule_entry(watch, now_ms);
 	if (reach->state == REACH_CUT_OFF) {
 		watch->cut_off_ms = now_ms;
 		log_warn("reach",
@@ -63,15 +107,19 @@
 	}
 	log_warn("reach", "servers can be connected to again took_ms=%" PRId64,
 		 now_ms - watch->cut_off_ms);
+	servers_forget_unreachable(watch->proxy->servers,
+				   reach->first_failure_ms);
 }
 
 static void on_probe_connected(void *context)
 {
 	struct probe *probe = context;
 	struct reach_watch *watch = probe->watch;
+	struct server *server = server_ref(probe->server);
 
 	end_probe(probe);
-	reach_watch_connected(watch);
+	reach_watch_connected(watch, server);
+	server_unref(server);
 }
 
 static void on_probe_failed(struct probe *probe)
@@ -174,6 +222,7 @@
 
 	watch->proxy = proxy;
 	watch->timer = evtimer_new(proxy->base, on_timer, watch);
+	watch->entry_timer = evtimer_new(proxy->base, on_entry_timer, watch);
 	return watch;
 }
 
@@ -184,18 +233,20 @@
 	while (!g_queue_is_empty(&watch->probes))
 		end_probe(g_queue_peek_head(&watch->probes));
 	event_free(watch->timer);
+	event_free(watch->entry_timer);
 	g_free(watch);
 }
 
-void reach_watch_connected(struct reach_watch *watch)
+void reach_watch_connected(struct reach_watch *watch, const struct server *server)
 {
 	enum reach_state before;
 
 	if (!watch)
 		return;
 	before = watch->reach.state;
-	reach_record_connected(&watch->reach, proxy_now_ms(watch->proxy));
-	while (!g_queue_is_empty(&watch->probes))
+	reach_record_connected(&watch->reach, server->hash,
+			       proxy_now_ms(watch->proxy));
+	while (watch->reach.state == REACH_UP && !g_queue_is_empty(&watch->probes))
 		end_probe(g_queue_peek_head(&watch->probes));
 	report_change(watch, before);
 }
@@ -215,3 +266,16 @@
 {
 	return watch && watch->reach.state == REACH_CUT_OFF;
 }
+
+bool reach_watch_is_in_doubt(const struct reach_watch *watch)
+{
+	return watch && watch->reach.state != REACH_UP;
+}
+
+bool reach_watch_may_send(const struct reach_watch *watch,
+			  const struct server *server)
+{
+	return !reach_watch_is_cut_off(watch) ||
+	       (server->idle &&
+		server->responded_ms > watch->reach.first_failure_ms);
+}
--- a/test/unit/decide/reach_test.c
+++ b/test/unit/decide/reach_test.c
@@ -81,7 +81,7 @@
 	g_assert_cmpuint(reach_begin_probes(&reach, SERVERS, 10), ==,
 			 REACH_PROBES);
 	fail_probes(&reach, 2, 20);
-	reach_record_connected(&reach, 30);
+	reach_record_connected(&reach, 3, 30);
 	reach_record_probe_failed(&reach);
 	g_assert_cmpint(reach.state, ==, REACH_UP);
 	/* half of the servers are down: few probes, whatever else fails */
@@ -116,11 +116,45 @@
 	g_assert_cmpuint(reach_begin_probes(&reach, SERVERS, 260), ==, 1);
 	fail_probes(&reach, 1, 400);
 	g_assert_cmpint(reach.state, ==, REACH_CUT_OFF);
-	reach_record_connected(&reach, 500);
+	reach_record_connected(&reach, 3, 500);
+	g_assert_cmpint(reach.state, ==, REACH_CUT_OFF);
+	g_assert_cmpuint(reach_begin_probes(&reach, SERVERS, 500), ==, 1);
+	reach_record_connected(&reach, 4, 510);
 	g_assert_cmpint(reach.state, ==, REACH_UP);
 	g_assert_cmpuint(reach.failed_count, ==, 0);
 }
 
+/* Load pattern: all servers but one are out of reach. */
+static void one_server_of_many_does_not_end_a_cut(void)
+{
+	struct reach reach = { 0 };
+	int64_t now_ms;
+
+	reach_record_failed(&reach, 1, fyn_a, 0);
+	reach_record_failed(&reach, 2, fyn_a, 0);
+	reach_begin_probes(&reach, SERVERS, 0);
+	fail_probes(&reach, REACH_PROBES, 10);
+	for (now_ms = 100; now_ms < 5000; now_ms += 100) {
+		reach_record_connected(&reach, 3, now_ms);
+		reach_record_connected(&reach, 3, now_ms);
+		g_assert_cmpint(reach.state, ==, REACH_CUT_OFF);
+		fail_probes(&reach, 1, now_ms);
+	}
+}
+
+static void the_only_server_left_ends_a_cut(void)
+{
+	struct reach reach = { 0 };
+
+	reach_record_failed(&reach, 1, fyn_a, 0);
+	reach_record_failed(&reach, 2, fyn_a, 0);
+	reach_begin_probes(&reach, 2, 0);
+	fail_probes(&reach, 2, 10);
+	g_assert_cmpuint(reach_begin_probes(&reach, 1, 500), ==, 1);
+	reach_record_connected(&reach, 1, 510);
+	g_assert_cmpint(reach.state, ==, REACH_UP);
+}
+
 /* Load pattern: a failure domain is lost, or all servers of a service are. */
 static void probes_go_to_other_domains_and_services(void)
 {
@@ -181,6 +215,8 @@
 	ADD_TEST("reach", one_success_ends_the_round);
 	ADD_TEST("reach", old_failures_do_not_count);
 	ADD_TEST("reach", the_end_of_a_cut_is_probed_for);
+	ADD_TEST("reach", one_server_of_many_does_not_end_a_cut);
+	ADD_TEST("reach", the_only_server_left_ends_a_cut);
 	ADD_TEST("reach", probes_go_to_other_domains_and_services);
 	ADD_TEST("reach", few_candidates_are_probed_once_each);
 	return g_test_run();
--- a/test/unit/fleet/servers_test.c
+++ b/test/unit/fleet/servers_test.c
@@ -84,6 +84,26 @@
 	servers_free(servers);
 }
 
+/* This VM was cut off from all servers: they have not failed themselves. */
+static void failures_of_a_cut_are_forgotten(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only_server(servers);
+	const int64_t at_ms = clock_now_ms(&now);
+
+	server_record_unreachable(server, at_ms);
+	servers_forget_unreachable(servers, at_ms + 1);
+	g_assert_true(server_is_avoided(server, at_ms));
+	servers_forget_unreachable(servers, at_ms);
+	g_assert_false(server_is_avoided(server, at_ms));
+	g_assert_cmpuint(server->consecutive_failures, ==, 0);
+	server_record_slow_response(server, at_ms);
+	server->unreachable_ms = 0;
+	servers_forget_unreachable(servers, 0);
+	g_assert_true(server_is_avoided(server, at_ms));
+	servers_free(servers);
+}
+
 /* A server that restarts under the same id must not inherit failures. */
 static void new_incarnation_starts_without_failures(void)
 {
@@ -206,6 +226,7 @@
 	ADD_TEST("servers", slow_server_is_tried_by_one_request);
 	ADD_TEST("servers", server_is_avoided_after_two_failures);
 	ADD_TEST("servers", unreachable_server_is_avoided_at_once);
+	ADD_TEST("servers", failures_of_a_cut_are_forgotten);
 	ADD_TEST("servers", new_incarnation_starts_without_failures);
 	ADD_TEST("servers", missing_server_is_restored);
 	ADD_TEST("servers", draining_server_is_not_usable);
