fix(proxy): refuse at once what reaches a VM without servers

Problem: a request at a cut-off VM went through up to eight servers, 250 ms each, and got its 503 after 1.3 to 2 s. Solution: while a VM is cut off, a request is sent only on an idle connection to a server that has responded since the failures began. Otherwise it is refused at once with a short Retry-After, and the connection is closed. Broken connections of such a VM are no evidence against a request: no crash reports.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -11,6 +11,7 @@
 #include "net/responder.h"
 #include "net/timer.h"
 #include "proxy/exchange.h"
+#include "proxy/reach_watch.h"
 
 /* Limits used until a configuration is read. */
 static const struct caller_limits default_limits = {
@@ -411,13 +412,19 @@
 	close_callers(proxy, false);
 }
 
+/* Whether callers should go to another VM. */
+static bool turns_callers_away(const struct proxy *proxy)
+{
+	return proxy->stopping || reach_watch_is_cut_off(proxy->reach);
+}
+
 /* Whether the connection closes after this response. Requests that were read
  * behind it are answered first. */
 static bool must_close(const struct caller_request *request, bool close)
 {
 	if (request->close_after_response || close || !request->is_read)
 		return true;
-	return request->caller->proxy->stopping &&
+	return turns_callers_away(request->caller->proxy) &&
 	       last_request(request->caller) == request;
 }
 
--- a/src/proxy/crash.c
+++ b/src/proxy/crash.c
@@ -10,6 +10,7 @@
 #include "kv/kv_client.h"
 #include "net/http_stream.h"
 #include "net/timer.h"
+#include "proxy/reach_watch.h"
 
 /* Delay before the probe. A crashed server does not listen again by then; a
  * server that only closed one connection does. */
@@ -185,6 +186,12 @@
 {
 	struct crash_watch *watch = probe->watch;
 
+	if (reach_watch_is_in_doubt(watch->proxy->reach)) {
+		log_info("crash",
+			 "this VM may be cut off; no crash report server=%s",
+			 probe->server->id);
+		return;
+	}
 	if (count_servers_down(watch, probe->down_since_ms) > SERVERS_DOWN_MAX) {
 		log_info("crash",
 			 "several servers down at once; no crash report server=%s",
@@ -207,6 +214,7 @@
 
 static void on_connect_failed(struct probe *probe)
 {
+	reach_watch_failed(probe->watch->proxy->reach, probe->server);
 	http_stream_free(probe->stream);
 	probe->stream = NULL;
 	probe->down_since_ms = proxy_now_ms(probe->watch->proxy);
@@ -215,8 +223,11 @@
 
 static void on_connected(void *context)
 {
+	struct probe *probe = context;
+
 	/* the server is running: only a response was lost */
-	probe_free(context);
+	reach_watch_connected(probe->watch->proxy->reach, probe->server);
+	probe_free(probe);
 }
 
 static void on_ended(void *context, enum http_end_reason end)
--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -5,6 +5,7 @@
 #include "decide/cold_share.h"
 #include "decide/place.h"
 #include "proxy/exchange_internal.h"
+#include "proxy/reach_watch.h"
 #include "proxy/store_sync.h"
 
 /* Limit on the candidate servers of one service; the largest known service has
@@ -220,8 +221,10 @@
 		candidate->cold = server->cold_until_ms > now_ms;
 		candidate->missing = server->missing;
 		candidate->avoid = server_is_avoided(server, now_ms);
-		candidate->excluded = exchange_has_tried(e, server) ||
-				      !has_cold_allowance(e, server, now_ms);
+		candidate->excluded =
+			exchange_has_tried(e, server) ||
+			!reach_watch_may_send(e->proxy->reach, server) ||
+			!has_cold_allowance(e, server, now_ms);
 		candidate->busy_ms = ms_until(server->busy_until_ms, now_ms);
 		count++;
 	}
@@ -327,7 +330,9 @@
 	log_choice(e, &choice, count, &request, retry_reason);
 	if (choice.result != PLACE_SEND) {
 		e->wait_ms = choice.wait_ms;
-		*refusal = refusal_text(&choice, &request);
+		*refusal = reach_watch_is_cut_off(e->proxy->reach)
+				   ? "cut-off"
+				   : refusal_text(&choice, &request);
 		return NULL;
 	}
 	server = candidate_servers[choice.index];
--- a/src/proxy/exchange_response.c
+++ b/src/proxy/exchange_response.c
@@ -8,6 +8,7 @@
 #include "platform/header_codec.h"
 #include "proxy/exchange_internal.h"
 #include "proxy/headers.h"
+#include "proxy/reach_watch.h"
 
 /* Retry-After value if no wait has been estimated. */
 #define RETRY_AFTER_DEFAULT_MS 500
@@ -50,7 +51,7 @@
 	uint32_t ms = e->wait_ms ? e->wait_ms : RETRY_AFTER_DEFAULT_MS;
 
 	/* another VM can handle the request at once */
-	if (e->proxy->stopping)
+	if (e->proxy->stopping || reach_watch_is_cut_off(e->proxy->reach))
 		ms = 0;
 
 	/* jitter: callers refused together should not retry at the same time */
