--- a/test/functional/cut_path.c
+++ b/test/functional/cut_path.c
@@ -19,8 +19,6 @@
 #define BLACKHOLE_BACKLOG 0
 #define BLACKHOLE_FILL 4
 
-int connect(int fd, const struct sockaddr *address, socklen_t bytes);
-
 static int call_connect(int fd, const struct sockaddr *address, socklen_t bytes)
 {
 	static int (*next)(int, const struct sockaddr *, socklen_t);
--- a/test/functional/platform_cut.sh
+++ b/test/functional/platform_cut.sh
@@ -96,6 +96,8 @@
 	expect "$how: others are still named" names e2 "${FRONT[e3]}"
 	expect "$how: what comes is refused at once" fleet_wait 1 refused_at_once e1
 	expect "$how: it stays ready" is_ready e1
+	expect "$how: operators are told" bash -c \
+		"$BUILD/auburnreachctl --entry ${METRICS[e2]} versions | grep -q 'name=e1 .*cut-off'"
 	expect "$how: others serve" responds_with 200 e2 /look/1
 	sleep 3
 	join_vm e1
