test(cut): open connections must not suffice, or be closed

Problem: platform_cut failed where a VM keeps open connections: while they suffice for its requests nothing fails, the VM serves and is rightly named. Two checks took for granted that new ones are needed. Solution: the check for open connections sends more requests at once than there are connections; before all VMs are cut, 3 s pass, in which idle ones close.

--- a/test/functional/platform_cut.sh
+++ b/test/functional/platform_cut.sh
@@ -108,17 +108,31 @@
 	stop_callers
 done
 
-# connections that are open live on
+# left_out_after_burst: more requests at once than e1 has open connections.
+left_out_after_burst() {
+	local i jobs=()
+	for i in $(seq 30); do
+		curl -s -m 3 -o /dev/null -H 'Host: a.example' \
+			-H "Request-Id: burst-$RANDOM-$i" -H 'Deadline-Ms: 3000' \
+			-H "Cookie: Affinity-Key=$i" \
+			"http://${FRONT[e1]}/look/$i" &
+		jobs+=($!)
+	done
+	wait "${jobs[@]}"
+	does_not_name e2 "${FRONT[e1]}"
+}
+# connections that are open live on: nothing is amiss until they don't suffice
 start_callers e1
 cut_vm refuse e1
 expect "a VM with open connections is left out too" \
-	fleet_wait 4 does_not_name e2 "${FRONT[e1]}"
+	fleet_wait 4 left_out_after_burst
 expect "it serves on what is open" fleet_wait 1 responds_with 200 e1 /look/1
 stop_callers
 join_vm e1
 expect "it is named again" fleet_wait 4 names e2 "${FRONT[e1]}"
 
 # nobody else is left to name
+sleep 3
 cut_vm hang $VMS
 start_callers $VMS
 sleep 5
