perf(reach): candidates are collected only when a probe is due

Problem: a cut-off VM walked its list of servers 20 times a second. Solution: not before the next probe is due, four times a second.

--- a/src/proxy/reach_watch.c
+++ b/src/proxy/reach_watch.c
@@ -192,6 +192,8 @@
 	uint32_t wanted;
 	uint32_t i;
 
+	if (now_ms < watch->reach.next_probe_ms)
+		return;
 	servers_for_each(watch->proxy->servers, collect_candidate, &count);
 	wanted = reach_begin_probes(&watch->reach, count, now_ms);
 	if (!wanted)
