--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -11,6 +11,7 @@
 #include "net/responder.h"
 #include "net/timer.h"
 #include "proxy/exchange.h"
+#include "proxy/reach_watch.h"
 
 /* Limits used until a configuration is read. */
 static const struct caller_limits default_limits = {
@@ -431,6 +432,12 @@
 	close_callers(proxy, false);
 }
 
+/* Whether callers should go to another VM. */
+static bool turns_callers_away(const struct proxy *proxy)
+{
+	return proxy->stopping || reach_watch_is_cut_off(proxy->reach);
+}
+
 /* Whether the connection closes after this response. Requests that were read
  * behind it are answered first. If it closes, nothing more is read. */
 static bool must_close(struct caller_request *request, bool close)
@@ -439,7 +446,8 @@
 
 	if (request->close_after_response || close || !request->is_read)
 		return true;
-	if (!caller->proxy->stopping || last_request(caller) != request ||
+	if (!turns_callers_away(caller->proxy) ||
+	    last_request(caller) != request ||
 	    !http_stream_stop_reading(caller->stream))
 		return false;
 	caller->reading = false;
--- a/test/unit/proxy/directory_test.c
+++ b/test/unit/proxy/directory_test.c
@@ -23,7 +23,7 @@
 
 static void put_vm(const char *name, const char *at)
 {
-	char *text = vms_encode_entry(at, "fyn-a", "", "");
+	char *text = vms_encode_entry(at, "fyn-a", "", "", false);
 
 	vms_put(proxy.vms, name, text, strlen(text));
 	free(text);
