test(cut): the path of a VM is cut in a program of its own

Problem: the library that cuts a VM's path to servers was preloaded, by the soak too, which belongs to the sources; a deployment may refuse sources that preload. Solution: it is linked into a second program with the VM's main, entry-cuttable.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -42,18 +42,11 @@
 static void set_vm_environment(const struct fleet *fleet, const char *vm_name,
 			       const char *settings)
 {
-	char *library = g_strdup_printf("%s/libcut_path.so", fleet->build_dir);
 	char *cut_file = cut_file_name(fleet, vm_name);
 
 	g_setenv("AUBURNREACH_CONFIG", settings, true);
 	g_setenv("CUT_PATH_FILE", cut_file, true);
-	g_setenv("LD_PRELOAD", library, true);
-#if defined(__SANITIZE_ADDRESS__)
-	/* the library is loaded before the sanitizer's runtime */
-	g_setenv("ASAN_OPTIONS", "verify_asan_link_order=0", true);
-#endif
 	g_free(cut_file);
-	g_free(library);
 }
 
 /* @return the child's process ID. */
@@ -103,7 +96,7 @@
 
 void fleet_start_vm(struct fleet *fleet, struct fleet_vm *vm)
 {
-	char *program = g_strdup_printf("%s/auburnreach-entry", fleet->build_dir);
+	char *program = g_strdup_printf("%s/entry-cuttable", fleet->build_dir);
 	char *file = g_strdup_printf("%s/%s.json", fleet->out_dir, vm->name);
 	char *args[] = { program, NULL };
 
--- a/test/functional/cut_path.c
+++ b/test/functional/cut_path.c
@@ -10,10 +10,9 @@
 
 /**
  * @file
- * Loaded into one process (LD_PRELOAD), cuts its path to some addresses of the
- * loopback: while the file named by CUT_PATH_FILE exists, connections to the
- * ports in it are refused ("refuse PORT...") or hang ("hang PORT..."). Open
- * connections live on.
+ * Linked into a program, cuts its path to some addresses of the loopback: while
+ * the file named by CUT_PATH_FILE exists, connections to the ports in it are refused
+ * ("refuse PORT...") or hang ("hang PORT..."). Open connections live on.
  */
 
 #define BLACKHOLE_BACKLOG 0
--- a/test/functional/platform_cut.sh
+++ b/test/functional/platform_cut.sh
@@ -24,7 +24,7 @@
 }
 VMS="e1 e2 e3"
 for name in $VMS; do
-	CUT_PATH_FILE=$OUT/$name.cut LD_PRELOAD=$BUILD/libcut_path.so \
+	CUT_PATH_FILE=$OUT/$name.cut VM_PROGRAM=entry-cuttable \
 		vm $name fyn fyn-a
 done
 config 00000001 "$(route look /look/ idempotent reg),$(route order /order/ non_idempotent reg)"
--- a/test/functional/platform_lib.sh
+++ b/test/functional/platform_lib.sh
@@ -83,7 +83,7 @@
 vm() {
 	write_vm_settings "$@"
 	AUBURNREACH_CONFIG=$OUT/$1.json fleet_spawn "$OUT/$1.log" \
-		"$BUILD/auburnreach-entry"
+		"$BUILD/${VM_PROGRAM:-auburnreach-entry}"
 	VM_PID[$1]=$SPAWNED
 }
 
