fix(directory): only as many VMs of other regions as are missing

Problem: once under half of a region's VMs reached servers, the directory named all VMs of the other regions beside them: with 28 of 57 left and 138 elsewhere the region's share of its own callers would fall to a sixth in one response, and jump back. Solution: as many others are named as are missing up to half of the region's. Result: naming_test asks for the number; directory_test passes.

--- a/src/decide/naming.c
+++ b/src/decide/naming.c
@@ -2,13 +2,13 @@
 
 struct naming naming_choose(const struct naming_counts *counts)
 {
-	struct naming naming = { 0 };
+	const uint32_t half = (counts->region + 1) / 2;
+	struct naming naming = { .cut_off = !counts->all_sound };
+	uint32_t named = naming.cut_off ? counts->region : counts->region_sound;
 
-	naming.cut_off = !counts->all_sound;
-	if (naming.cut_off)
-		naming.other_regions = !counts->region;
-	else
-		naming.other_regions = !counts->region_sound ||
-				       2 * counts->region_sound < counts->region;
+	if (!named)
+		naming.others_max = counts->all;
+	else if (named < half)
+		naming.others_max = half - named;
 	return naming;
 }
--- a/src/decide/naming.h
+++ b/src/decide/naming.h
@@ -19,13 +19,14 @@
 };
 
 struct naming {
-	bool other_regions; /**< also names VMs of other regions */
-	bool cut_off;	    /**< also names VMs that are cut off */
+	uint32_t others_max; /**< VMs of other regions that are named too */
+	bool cut_off;	     /**< also names VMs that are cut off */
 };
 
 /**
  * Leaves out VMs that are cut off while others are left. If under half of the
- * region's VMs are left, VMs of other regions share their load.
+ * region's VMs are left, as many of other regions as are missing up to a half
+ * share their load: each VM that is lost moves a small part of the callers.
  */
 struct naming naming_choose(const struct naming_counts *counts);
 
--- a/src/proxy/directory.c
+++ b/src/proxy/directory.c
@@ -53,33 +53,45 @@
 	return counts;
 }
 
-static uint32_t collect_addresses(const struct proxy *proxy, const char *region,
-				  const char **addresses)
+/* Adds the addresses of VMs, near or not, from a random start: it gives every
+ * VM its turn if there are more than fit into a response. */
+static uint32_t add_addresses(const struct proxy *proxy, const char *region,
+			      bool near, bool names_cut_off,
+			      const char **addresses, uint32_t addresses_max)
 {
 	const GPtrArray *all = vms_all(proxy->vms);
-	const struct naming_counts counts = count_vms(proxy, region);
-	const struct naming naming = naming_choose(&counts);
 	uint32_t count = 0;
 	uint32_t start;
 	guint i;
 
 	if (!all->len)
 		return 0;
-	/* a random start gives every VM its turn if there are more than fit
-	 * into a response */
 	start = (uint32_t)g_random_int_range(0, (gint32)all->len);
-	for (i = 0; i < all->len && count < DIRECTORY_ADDRESSES_MAX; i++) {
+	for (i = 0; i < all->len && count < addresses_max; i++) {
 		const struct vm *vm =
 			g_ptr_array_index(all, (start + i) % all->len);
 
-		if (!is_leaving(proxy, vm) &&
-		    (naming.other_regions || is_in_region(vm, region)) &&
-		    (naming.cut_off || !is_cut_off(proxy, vm)))
+		if (is_in_region(vm, region) == near && !is_leaving(proxy, vm) &&
+		    (names_cut_off || !is_cut_off(proxy, vm)))
 			addresses[count++] = vm->address;
 	}
 	return count;
 }
 
+static uint32_t collect_addresses(const struct proxy *proxy, const char *region,
+				  const char **addresses)
+{
+	const struct naming_counts counts = count_vms(proxy, region);
+	const struct naming naming = naming_choose(&counts);
+	uint32_t count = add_addresses(proxy, region, true, naming.cut_off,
+				       addresses, DIRECTORY_ADDRESSES_MAX);
+
+	return count + add_addresses(proxy, region, false, naming.cut_off,
+				     addresses + count,
+				     MIN(naming.others_max,
+					 DIRECTORY_ADDRESSES_MAX - count));
+}
+
 void directory_handle_request(void *context, struct responder_request *request)
 {
 	struct proxy *proxy = context;
