refactor(proxy): callers' connections during a shutdown in a file of their own

Solution: what the shutdown does with all connections is callers_stop.c; the types are in caller_internal.h. Result: stop_test, caller_test, stop_callers_test and http_stream_test pass.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -1,4 +1,4 @@
-#include "proxy/caller.h"
+#include "proxy/caller_internal.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -7,7 +7,6 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "net/http_stream.h"
-#include "net/linger.h"
 #include "net/responder.h"
 #include "net/timer.h"
 #include "proxy/exchange.h"
@@ -25,41 +24,12 @@
  * connection while they exceed this. */
 #define HELD_BYTES_MAX (256 * 1024)
 
-/* During a shutdown, time for a caller that has connected to send a request. */
-#define FIRST_BYTE_TIMEOUT_MS 1000
-
-/* One request of a connection. Several idempotent ones may be in progress;
- * their responses are written in the order of the requests. */
-struct caller_request {
-	struct caller *caller;
-	struct exchange *exchange; /* NULL: the response is complete */
-	struct evbuffer *held;	   /* response that waits for an earlier one */
-	enum response_framing framing;
-	bool is_read;		   /* completely */
-	bool waits_for_turn;	   /* must not run before earlier ones ended */
-	bool wants_continue;	   /* 100 (Continue) is to be sent */
-	bool close_after_response; /* then close the connection */
-};
-
-struct caller {
-	struct proxy *proxy;
-	GList *link; /* element in the proxy's list of callers */
-	struct http_stream *stream;
-	struct event *timer;
-	GQueue requests; /* struct caller_request, in order of arrival */
-	int64_t idle_since_ms;
-	bool head_started; /* at the last timer event */
-	bool reading;	   /* the stream parses the next message */
-	bool advancing;	   /* advance() follows or is on the stack */
-	bool rejected;	   /* the input is no request; nothing more is read */
-};
-
 static const struct caller_limits *get_limits(const struct proxy *proxy)
 {
 	return proxy->config ? &proxy->config->limits : &default_limits;
 }
 
-static struct caller_request *first_request(const struct caller *caller)
+struct caller_request *caller_first_request(const struct caller *caller)
 {
 	return caller->requests.head ? caller->requests.head->data : NULL;
 }
@@ -71,7 +41,7 @@
 
 static bool is_first(const struct caller_request *request)
 {
-	return first_request(request->caller) == request;
+	return caller_first_request(request->caller) == request;
 }
 
 static struct caller_request *request_new(struct caller *caller)
@@ -100,7 +70,7 @@
 	free(request);
 }
 
-static void caller_free(struct caller *caller)
+void caller_free(struct caller *caller)
 {
 	struct caller_request *request;
 
@@ -175,11 +145,9 @@
 	}
 }
 
-/* Removes requests whose response is complete from the front, and reads the
- * next one. May free the caller. */
-static void advance(struct caller *caller)
+void caller_advance(struct caller *caller)
 {
-	struct caller_request *request = first_request(caller);
+	struct caller_request *request = caller_first_request(caller);
 
 	caller->advancing = true;
 	while (request && !request->exchange) {
@@ -192,7 +160,7 @@
 			caller_free(caller);
 			return;
 		}
-		request = first_request(caller);
+		request = caller_first_request(caller);
 		if (request)
 			begin_turn(request);
 	}
@@ -222,7 +190,7 @@
 		exchange_cancel(request->exchange);
 	request->exchange = NULL;
 	caller_write_head(request, status, NULL, FRAMING_CONTENT_LENGTH, 0, true);
-	advance(caller);
+	caller_advance(caller);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -232,7 +200,7 @@
 
 	(void)fd;
 	(void)what;
-	if (first_request(caller))
+	if (caller_first_request(caller))
 		return;
 	if (http_stream_has_message_begun(caller->stream)) {
 		if (caller->head_started) {
@@ -262,7 +230,7 @@
 	} else {
 		request->waits_for_turn = true;
 	}
-	advance(caller);
+	caller_advance(caller);
 }
 
 static void on_head(void *context, const struct http_head *head)
@@ -314,7 +282,7 @@
 
 static void on_drained(void *context)
 {
-	const struct caller_request *request = first_request(context);
+	const struct caller_request *request = caller_first_request(context);
 
 	if (request && request->exchange)
 		exchange_on_output_drained(request->exchange);
@@ -374,64 +342,6 @@
 	wait_for_request(caller);
 }
 
-static bool is_idle(const struct caller *caller)
-{
-	return !first_request(caller) &&
-	       !http_stream_has_message_begun(caller->stream) &&
-	       !evbuffer_get_length(http_stream_output(caller->stream)) &&
-	       proxy_now_ms(caller->proxy) - caller->idle_since_ms >=
-		       FIRST_BYTE_TIMEOUT_MS;
-}
-
-static void close_callers(struct proxy *proxy, bool only_idle)
-{
-	GList *link = g_queue_peek_head_link(&proxy->callers);
-
-	while (link) {
-		struct caller *caller = link->data;
-
-		link = link->next;
-		if (only_idle && !is_idle(caller))
-			continue;
-		http_stream_free(caller->stream);
-		caller_free(caller);
-	}
-}
-
-bool callers_have_left(const struct proxy *proxy)
-{
-	return !proxy->callers.length && !linger_unsent_count();
-}
-
-void callers_close_idle(struct proxy *proxy)
-{
-	close_callers(proxy, true);
-}
-
-void callers_end_requests(struct proxy *proxy)
-{
-	GList *link = g_queue_peek_head_link(&proxy->callers);
-
-	while (link) {
-		struct caller *caller = link->data;
-		GList *request = caller->requests.head;
-
-		link = link->next;
-		if (!request)
-			continue;
-		caller->advancing = true;
-		for (; request; request = request->next)
-			exchange_end_at_exit(
-				((struct caller_request *)request->data)->exchange);
-		advance(caller);
-	}
-}
-
-void callers_close_all(struct proxy *proxy)
-{
-	close_callers(proxy, false);
-}
-
 /* Whether callers should go to another VM. */
 static bool turns_callers_away(const struct proxy *proxy)
 {
@@ -499,7 +409,7 @@
 	request->exchange = NULL;
 	request->waits_for_turn = false;
 	if (!caller->advancing)
-		advance(caller);
+		caller_advance(caller);
 }
 
 void caller_abort(struct caller_request *request)
