refactor(proxy): the question whether a process may exit has no effects

Problem: may_exit() ended the requests that were left. Solution: a step of its own before it; comments say what the times are for. Result: stop_test, caller_test and stop_callers_test pass.

--- a/src/proxy/exchange_place.c
+++ b/src/proxy/exchange_place.c
@@ -293,7 +293,10 @@
 }
 
 /* Requires the request to end before this process exits, with a margin for runs
- * that take a little longer than usual. */
+ * that take a little longer than usual.
+ *
+ * @param must_end whether its deadline is the exit already: compared with the
+ * margin, a short rest would look like a deadline of the caller. */
 static void limit_to_shutdown(struct place_request *request, uint32_t stop_ms,
 			      bool must_end)
 {
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -68,7 +68,7 @@
 	bool stopping;
 	int64_t refuse_from_ms; /**< while stopping: refuse requests from then */
 	int64_t exit_deadline_ms; /**< while stopping: time of exit */
-	bool exiting;		  /**< the event loop has ended */
+	bool exiting;		  /**< the event loop is about to end */
 };
 
 static inline int64_t proxy_now_ms(const struct proxy *proxy)
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -19,9 +19,9 @@
 /* Idle connections are closed after this time, when callers have queried the
  * directory again. */
 #define CLOSE_IDLE_AFTER_MS 2000
-/* Exit this long before the process would be killed. */
+/* Requests end this long before the process would be killed. */
 #define EXIT_RESERVE_MS 500
-/* Part of that time in which the last responses can leave the process. */
+/* Part of that time in which the last responses leave the process. */
 #define LAST_RESPONSES_MS 300
 
 struct stop {
@@ -63,21 +63,25 @@
 		       DIRECTORY_CACHE_MS;
 }
 
-/* Whether the process may exit. At its deadline it first responds to the
- * requests that are left. */
-static bool may_exit(struct stop *stop)
+/* At the deadline, responds to the requests that are left. */
+static void end_requests(struct stop *stop)
 {
 	struct proxy *proxy = stop->proxy;
 	int64_t now_ms = proxy_now_ms(proxy);
 
-	if (now_ms >= proxy->exit_deadline_ms && !stop->last_responses_ms) {
-		stop->last_responses_ms = now_ms;
-		callers_end_requests(proxy);
-	}
+	if (now_ms < proxy->exit_deadline_ms || stop->last_responses_ms)
+		return;
+	stop->last_responses_ms = now_ms;
+	callers_end_requests(proxy);
+}
+
+static bool may_exit(const struct stop *stop)
+{
 	if (stop->last_responses_ms &&
-	    now_ms >= stop->last_responses_ms + LAST_RESPONSES_MS)
+	    proxy_now_ms(stop->proxy) >=
+		    stop->last_responses_ms + LAST_RESPONSES_MS)
 		return true;
-	return has_left_directory(stop) && callers_have_left(proxy);
+	return has_left_directory(stop) && callers_have_left(stop->proxy);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -94,6 +98,7 @@
 	if (has_left_directory(stop) ||
 	    proxy_now_ms(proxy) >= proxy->exit_deadline_ms)
 		stop_accepting(proxy);
+	end_requests(stop);
 	if (may_exit(stop)) {
 		log_info("stop", "stop ends took_ms=%" PRId64 " unfinished=%u",
 			 age_ms, proxy->exchanges_in_progress);
