--- a/review/standin.c
+++ b/review/standin.c
@@ -16,7 +16,7 @@
 #include <unistd.h>
 
 #define CASE_SECONDS_MAX 110
-#define PROCESSES_MAX 16
+#define PROCESSES_MAX 64
 #define READY_TRIES 100
 
 static FILE *record_file;
@@ -146,20 +146,38 @@
 	return address;
 }
 
+int listen_again(uint16_t port)
+{
+	struct sockaddr_in address = local_address(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
+	    listen(fd, 128))
+		give_up("a port is not free");
+	return fd;
+}
+
 int listen_anywhere(uint16_t *port)
 {
-	struct sockaddr_in address = local_address(0);
+	struct sockaddr_in address;
 	socklen_t bytes = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int fd = listen_again(0);
 
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, bytes) ||
-	    listen(fd, 128) ||
-	    getsockname(fd, (struct sockaddr *)&address, &bytes))
+	if (getsockname(fd, (struct sockaddr *)&address, &bytes))
 		give_up("no port is free");
 	*port = ntohs(address.sin_port);
 	return fd;
 }
 
+void stop_listening(int fd)
+{
+	/* wakes the acceptor, which closes the socket */
+	shutdown(fd, SHUT_RDWR);
+}
+
 struct acceptor {
 	int fd;
 	void (*serve)(struct link *link, void *context);
@@ -190,8 +208,10 @@
 		int one = 1;
 		int fd = accept4(acceptor->fd, NULL, NULL, SOCK_CLOEXEC);
 
-		if (fd < 0)
+		if (fd < 0) {
+			close(acceptor->fd);
 			return NULL;
+		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		served = calloc(1, sizeof(*served));
 		served->acceptor = acceptor;
@@ -375,9 +395,10 @@
 		"BudgetRatio=0.2,BudgetWindowS=10,BudgetExtra=139,ColdOver=1.5,"
 		"ColdSlack=5,EvacuateMs=5000,RecoverS=15,ttl_max_s=5,"
 		"MaxShift=0.15\",\n"
-		" \"first_start\": true, \"log_level\": \"info\"}\n",
+		" \"first_start\": %s, \"log_level\": \"info\"}\n",
 		vm->name, vm->zone, vm->request_port, vm->ready_port,
-		vm->directory_port, vm->metrics_port, vm->relay_port, store_port);
+		vm->directory_port, vm->metrics_port, vm->relay_port,
+		store_port, vm->was_started ? "false" : "true");
 	fclose(file);
 }
 
@@ -417,6 +438,7 @@
 		choose_ports(vm);
 	}
 	write_settings(vm);
+	vm->was_started = true;
 	vm->pid = fork();
 	if (!vm->pid)
 		run_entry(vm);
@@ -426,7 +448,7 @@
 	record("entry VM %s starts", name);
 }
 
-static bool is_ready(const struct entry_vm *vm)
+bool entry_is_ready(const struct entry_vm *vm)
 {
 	struct link *link = calloc(1, sizeof(*link));
 	struct message *answer = calloc(1, sizeof(*answer));
@@ -449,7 +471,7 @@
 	int tries;
 
 	for (tries = 0; tries < READY_TRIES; tries++) {
-		if (is_ready(vm)) {
+		if (entry_is_ready(vm)) {
 			record("entry VM %s is ready", vm->name);
 			return;
 		}
--- a/review/standin.h
+++ b/review/standin.h
@@ -55,6 +55,12 @@
 /** @return a listening socket on a free port. */
 int listen_anywhere(uint16_t *port);
 
+/** @return a listening socket on a port that was free before. */
+int listen_again(uint16_t port);
+
+/** Closes a listening socket, so that connections to its port are refused. */
+void stop_listening(int fd);
+
 /** Calls `serve` in a thread of its own for each connection. */
 void serve_connections(int fd, void (*serve)(struct link *link, void *context),
 		       void *context);
@@ -90,10 +96,15 @@
 /** Starts the store. */
 void store_start(void);
 void store_put(const char *key, const char *value);
+void store_remove(const char *key);
 
-/** Writes the entry of a backend server to the store. */
+/**
+ * Writes the entry of a backend server to the store.
+ *
+ * @param start counts the starts at the address.
+ */
 void store_put_server(const char *id, const char *service, const char *zone,
-		      uint16_t port, int slots, const char *state, int sequence);
+		      uint16_t port, int slots, int start);
 
 /** An entry VM's process. */
 struct entry_vm {
@@ -107,6 +118,7 @@
 	uint16_t metrics_port;
 	uint16_t relay_port;
 	pid_t pid;
+	bool was_started;
 };
 
 /** Starts target/auburnreach-entry with the settings of the deploy file. */
@@ -115,6 +127,9 @@
 /** Waits until the VM responds to readiness checks. */
 void entry_wait_ready(const struct entry_vm *vm);
 
+/** @return whether the VM responds to readiness checks. */
+bool entry_is_ready(const struct entry_vm *vm);
+
 /** @return whether the process has ended; its status goes to the record. */
 bool entry_has_ended(struct entry_vm *vm);
 
--- a/review/standin_store.c
+++ b/review/standin_store.c
@@ -128,8 +128,19 @@
 	pthread_mutex_unlock(&lock);
 }
 
+void store_remove(const char *key)
+{
+	struct item *item;
+
+	pthread_mutex_lock(&lock);
+	item = find_item(key);
+	if (item)
+		remove_item(item);
+	pthread_mutex_unlock(&lock);
+}
+
 void store_put_server(const char *id, const char *service, const char *zone,
-		      uint16_t port, int slots, const char *state, int sequence)
+		      uint16_t port, int slots, int start)
 {
 	static const long long born_ms = 1733286148000;
 	char key[64];
@@ -139,9 +150,9 @@
 	snprintf(value, sizeof(value),
 		 "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
 		 "\"Version\":\"v1\",\"Zone\":\"%s\",\"Slots\":%d},"
-		 "\"Status\":{\"State\":\"%s\",\"Seq\":%d,\"ColdLeftMs\":0},"
+		 "\"Status\":{\"State\":\"ready\",\"Seq\":1,\"ColdLeftMs\":0},"
 		 "\"born\":%lld}",
-		 port, service, zone, slots, state, sequence, born_ms);
+		 port, service, zone, slots, born_ms + now_ms() + start);
 	store_put(key, value);
 }
 
