test(review): let the store turn one machine away

Problem: a case needs a store that serves all machines but one; and a thread that goes on after the end of a case could write to the closed record.

Solution: a port of the store for each machine; the record stays locked when a case has ended.

--- a/review/standin.c
+++ b/review/standin.c
@@ -111,10 +111,12 @@
 					     "the case could not run" };
 
 	record("%s", texts[result]);
+	/* nothing is recorded from now on, also by threads that go on */
+	pthread_mutex_lock(&record_lock);
+	fclose(record_file);
 	end_processes();
 	while (wait(NULL) > 0)
 		;
-	fclose(record_file);
 	_exit((int)result);
 }
 
@@ -398,7 +400,8 @@
 		" \"first_start\": %s, \"log_level\": \"info\"}\n",
 		vm->name, vm->zone, vm->request_port, vm->ready_port,
 		vm->directory_port, vm->metrics_port, vm->relay_port,
-		store_port, vm->was_started ? "false" : "true");
+		vm->store_port ? vm->store_port : store_port,
+		vm->was_started ? "false" : "true");
 	fclose(file);
 }
 
--- a/review/standin.h
+++ b/review/standin.h
@@ -93,8 +93,18 @@
 /** The store's port, once store_start() has returned. */
 extern uint16_t store_port;
 
+/** A port of its own on which the store serves one machine. */
+struct store_door {
+	uint16_t port;
+	bool refuses;
+};
+
 /** Starts the store. */
 void store_start(void);
+void store_open_door(struct store_door *door);
+
+/** Turns the machine away with 503, and cuts its connections, or serves it. */
+void store_refuse(struct store_door *door, bool refuses);
 void store_put(const char *key, const char *value);
 void store_remove(const char *key);
 
@@ -117,6 +127,7 @@
 	uint16_t directory_port;
 	uint16_t metrics_port;
 	uint16_t relay_port;
+	uint16_t store_port; /* 0: the common one */
 	pid_t pid;
 	bool was_started;
 };
--- a/review/standin_store.c
+++ b/review/standin_store.c
@@ -20,6 +20,7 @@
 #define LEASES_MAX 512
 #define VALUE_BYTES_MAX 8192
 #define LEASE_CHECK_MS 50
+#define DOOR_LINKS_MAX 256
 
 struct item {
 	char key[201];
@@ -48,6 +49,10 @@
 static struct lease leases[LEASES_MAX];
 static uint64_t revision = 1;
 static uint64_t next_lease = 100;
+static struct {
+	const struct store_door *door;
+	int fd;
+} door_links[DOOR_LINKS_MAX];
 
 static const char digits[] =
 	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -441,19 +446,64 @@
 	return written;
 }
 
+/* @return the place of the connection in the list of doors. */
+static int add_door_link(const struct store_door *door, int fd)
+{
+	int i;
+
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < DOOR_LINKS_MAX && door_links[i].door; i++)
+		;
+	if (i == DOOR_LINKS_MAX)
+		give_up("the store has no room for a connection");
+	door_links[i].door = door;
+	door_links[i].fd = fd;
+	pthread_mutex_unlock(&lock);
+	return i;
+}
+
 static void serve(struct link *link, void *context)
 {
+	const struct store_door *door = context;
 	struct message *request = calloc(1, sizeof(*request));
+	int place = door ? add_door_link(door, link->fd) : -1;
 	bool goes_on = true;
 
-	(void)context;
 	while (goes_on && read_head(link, request) && read_body(link, request)) {
-		goes_on = serve_call(link, request);
+		if (door && door->refuses)
+			goes_on = write_text(link->fd,
+					     "HTTP/1.1 503 Status\r\n"
+					     "Store-Era: 1\r\n"
+					     "Content-Length: 0\r\n\r\n");
+		else
+			goes_on = serve_call(link, request);
 		free(request->body);
 	}
+	if (door) {
+		pthread_mutex_lock(&lock);
+		door_links[place].door = NULL;
+		pthread_mutex_unlock(&lock);
+	}
 	free(request);
 }
 
+void store_open_door(struct store_door *door)
+{
+	serve_connections(listen_anywhere(&door->port), serve, door);
+}
+
+void store_refuse(struct store_door *door, bool refuses)
+{
+	int i;
+
+	pthread_mutex_lock(&lock);
+	door->refuses = refuses;
+	for (i = 0; i < DOOR_LINKS_MAX; i++)
+		if (refuses && door_links[i].door == door)
+			shutdown(door_links[i].fd, SHUT_RDWR);
+	pthread_mutex_unlock(&lock);
+}
+
 void store_start(void)
 {
 	events = calloc(EVENTS_MAX, sizeof(*events));
