test(review): a server that left stays in use after a gap of the relay

Problem: a VM that reads all keys again after a gap records no removal for keys that came and went meanwhile, and tells VMs that read from it of no change.

Solution: the store turns the VM that reads for the others away six times for nine seconds, while servers are replaced two a second.

--- a/review/5/case.c
+++ b/review/5/case.c
@@ -9,39 +9,32 @@
 
 /**
  * @file
- * Two of twelve backend servers crash, one after the other, and are back after
- * 4.5 s. All the while, callers look up the same list and place orders.
+ * The backend servers of a service are replaced, two a second. Six times the
+ * store turns one of three entry VMs away for nine seconds: the one through
+ * which the others read.
  */
 
-#define VMS 2
-#define SERVERS 12
-#define CONNECTIONS_MAX 256
-#define SERVER_DOWN_MS 4500
-/* Three heartbeat intervals: then the store removes a silent server's entry. */
-#define ENTRY_EXPIRES_MS 4500
-#define FIRST_CRASH_MS 2000
-#define SECOND_CRASH_MS 4000
-#define DAY_MS 70000
-#define LIST_RUN_MS 500
-#define ORDER_RUN_MS 100
-#define LIST_CALLERS 60
-#define ORDER_CALLERS 30
-#define PAUSE_MS 200
+#define VMS 3
+#define STABLE_SERVERS 4
+#define SERVERS_MAX 256
+#define CONNECTIONS_MAX 512
+#define STEP_MS 500
+#define LEAVES_AFTER_START_MS 200
+#define LISTED_STEPS 6
+/* DrainMs and some seconds: then a server that left exits. */
+#define SERVES_ON_STEPS 14
+#define DRAIN_MS 2500
+#define SLACK_MS 200
+#define CYCLES 6
+#define REFUSED_MS 9000
+/* Longer each time, so that it ends at another moment of a step. */
+#define REFUSED_LONGER_MS 70
+#define SERVED_MS 6000
+#define LOOKUP_EVERY_MS 40
 #define DEADLINE_MS 4000
 
-enum kind { KIND_LIST, KIND_ORDER, KINDS };
-
-struct counts {
-	int sent;
-	int served;
-};
-
 static const char config[] =
 	"{\"Version\":\"00000007\",\"Routes\":{"
-	"\"order\":{\"Host\":\"shop.example\",\"Prefix\":\"/order/\","
-	"\"Kind\":\"non_idempotent\",\"TimeoutMs\":4000,"
-	"\"TargetLatencyMs\":800,\"Priority\":1,\"Service\":\"counter\","
-	"\"MaxAttempts\":2,\"Sticky\":true,\"HomeRegions\":[]},"
 	"\"stock\":{\"Host\":\"shop.example\",\"Prefix\":\"/stock/\","
 	"\"Kind\":\"idempotent\",\"TimeoutMs\":4000,\"TargetLatencyMs\":600,"
 	"\"Priority\":2,\"Service\":\"counter\",\"MaxAttempts\":2,"
@@ -53,78 +46,29 @@
 	"\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
 
 struct server {
-	int number;
-	int start;
+	char id[32];
 	uint16_t port;
 	int listener;
-	char id[32];
-	bool running;
-	int load; /* requests that run */
+	int64_t left_ms; /* when the store removed its entry; 0: not yet */
+	bool exited;
+	int late_count;
 };
 
 struct connection {
 	struct server *server;
-	int start; /* of the server */
 	int fd;
 };
 
-static struct server servers[SERVERS];
+static struct server servers[SERVERS_MAX];
+static struct store_door doors[VMS];
 static struct entry_vm vms[VMS];
-static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct connection connections[CONNECTIONS_MAX];
-static struct counts counts[KINDS];
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static int server_count;
+static int late_count;
+static volatile int away = -1; /* the VM that is turned away, or was lately */
 static volatile bool stopping;
 
-static void serve(struct link *link, void *context);
-
-static void start_server(struct server *server)
-{
-	server->start++;
-	snprintf(server->id, sizeof(server->id), "server-%d-%d", server->number,
-		 server->start);
-	server->listener = server->port ? listen_again(server->port)
-					: listen_anywhere(&server->port);
-	server->running = true;
-	serve_connections(server->listener, serve, server);
-	store_put_server(server->id, "counter", "leic-a", server->port, 9,
-			 server->start);
-}
-
-static void *run_restart(void *context)
-{
-	struct server *server = context;
-	char key[64];
-
-	snprintf(key, sizeof(key), "servers/%s", server->id);
-	sleep_ms(SERVER_DOWN_MS);
-	start_server(server);
-	record("server: %s has started", server->id);
-	sleep_ms(ENTRY_EXPIRES_MS - SERVER_DOWN_MS);
-	store_remove(key);
-	return NULL;
-}
-
-/* What the kernel does when a process ends: all its sockets are closed. */
-static void crash(struct server *server)
-{
-	int i;
-
-	pthread_mutex_lock(&lock);
-	if (!server->running) {
-		pthread_mutex_unlock(&lock);
-		return;
-	}
-	server->running = false;
-	record("server: %s crashes", server->id);
-	stop_listening(server->listener);
-	for (i = 0; i < CONNECTIONS_MAX; i++)
-		if (connections[i].server == server &&
-		    connections[i].start == server->start)
-			shutdown(connections[i].fd, SHUT_RDWR);
-	pthread_mutex_unlock(&lock);
-	start_thread(run_restart, server);
-}
-
 static struct connection *add_connection(struct server *server, int fd)
 {
 	struct connection *connection = NULL;
@@ -137,38 +81,25 @@
 	if (!connection)
 		give_up("there are too many connections");
 	connection->server = server;
-	connection->start = server->start;
 	connection->fd = fd;
 	pthread_mutex_unlock(&lock);
 	return connection;
 }
 
-static bool run_request(struct link *link, struct server *server,
-			const struct message *request)
+static void check_request(struct server *server, const char *id)
 {
-	char expected[64];
-	char id[64];
-	int load;
-
-	get_header(request, "Request-Id", id, sizeof(id));
-	get_header(request, "Expect-Instance", expected, sizeof(expected));
-	if (strcmp(expected, server->id) != 0)
-		return write_text(link->fd,
-				  "HTTP/1.1 421 Status\r\nRequest-Id: %s\r\n"
-				  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-				  id);
-	pthread_mutex_lock(&lock);
-	server->load++;
-	pthread_mutex_unlock(&lock);
-	sleep_ms(strstr(request->head, " /order/") ? ORDER_RUN_MS : LIST_RUN_MS);
+	int64_t since_ms;
+
 	pthread_mutex_lock(&lock);
-	load = --server->load;
+	since_ms = server->left_ms ? now_ms() - server->left_ms : 0;
+	if (since_ms > DRAIN_MS + SLACK_MS) {
+		late_count++;
+		if (server->late_count++ < 3)
+			record("server: %s reaches %s %lld ms after the store "
+			       "removed its entry",
+			       id, server->id, (long long)since_ms);
+	}
 	pthread_mutex_unlock(&lock);
-	return write_text(link->fd,
-			  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-			  "Response-Stamp: %s.1\r\nBackend-Load: %d,0,9\r\n"
-			  "Content-Length: 2\r\n\r\nok",
-			  id, id, load);
 }
 
 static void serve(struct link *link, void *context)
@@ -176,10 +107,18 @@
 	struct server *server = context;
 	struct connection *connection = add_connection(server, link->fd);
 	struct message *request = calloc(1, sizeof(*request));
+	char id[64];
 
 	while (read_head(link, request) && read_body(link, request)) {
 		free(request->body);
-		if (!run_request(link, server, request))
+		get_header(request, "Request-Id", id, sizeof(id));
+		check_request(server, id);
+		if (!write_text(link->fd,
+				"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+				"Response-Stamp: %s.1\r\n"
+				"Backend-Load: 0,0,9\r\n"
+				"Content-Length: 2\r\n\r\nok",
+				id, id))
 			break;
 	}
 	pthread_mutex_lock(&lock);
@@ -188,118 +127,167 @@
 	free(request);
 }
 
-/* @param pause_ms set to the time that a refusal asks the caller to wait. */
-static int call(const struct entry_vm *vm, enum kind kind, const char *id,
-		int64_t *pause_ms)
+static void start_server(void)
+{
+	struct server *server = &servers[server_count++];
+
+	snprintf(server->id, sizeof(server->id), "server-%d", server_count);
+	server->listener = listen_anywhere(&server->port);
+	serve_connections(server->listener, serve, server);
+	store_put_server(server->id, "counter", "leic-a", server->port, 9, 1);
+}
+
+static void leave(struct server *server)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers/%s", server->id);
+	store_remove(key);
+	pthread_mutex_lock(&lock);
+	server->left_ms = now_ms();
+	pthread_mutex_unlock(&lock);
+}
+
+static void exit_server(struct server *server)
+{
+	int i;
+
+	pthread_mutex_lock(&lock);
+	server->exited = true;
+	stop_listening(server->listener);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		if (connections[i].server == server)
+			shutdown(connections[i].fd, SHUT_RDWR);
+	pthread_mutex_unlock(&lock);
+}
+
+/* Replaces servers: a new one starts first, then an old one leaves. */
+static void *run_release(void *context)
+{
+	while (!stopping && server_count < SERVERS_MAX) {
+		int leaving = server_count - LISTED_STEPS;
+		int exiting = leaving - SERVES_ON_STEPS;
+
+		start_server();
+		sleep_ms(LEAVES_AFTER_START_MS);
+		if (leaving >= STABLE_SERVERS)
+			leave(&servers[leaving]);
+		if (exiting >= STABLE_SERVERS)
+			exit_server(&servers[exiting]);
+		sleep_ms(STEP_MS - LEAVES_AFTER_START_MS);
+	}
+	return context;
+}
+
+static void look_up(const struct entry_vm *vm, const char *id, unsigned int object)
 {
-	char retry_after[32];
 	struct link *link = calloc(1, sizeof(*link));
 	struct message *response = calloc(1, sizeof(*response));
-	int status = 0;
 
 	link->fd = connect_to(vm->request_port, 0, 0);
 	if (write_text(link->fd,
-		       "%s HTTP/1.1\r\nHost: shop.example\r\n"
+		       "GET /stock/%u HTTP/1.1\r\nHost: shop.example\r\n"
 		       "Request-Id: %s\r\nDeadline-Ms: %d\r\n"
-		       "Content-Length: 0\r\n\r\n",
-		       kind == KIND_LIST ? "GET /stock/list" : "POST /order/new",
-		       id, DEADLINE_MS) &&
-	    read_head(link, response))
-		status = get_status(response);
-	*pause_ms = PAUSE_MS;
-	if (get_header(response, "Retry-After", retry_after, sizeof(retry_after)))
-		*pause_ms += (int64_t)(strtod(retry_after, NULL) * 1000);
+		       "Cookie: Affinity-Key=%u\r\n\r\n",
+		       object, id, DEADLINE_MS, object))
+		read_head(link, response);
 	close(link->fd);
 	free(link);
 	free(response);
-	return status;
 }
 
-/* Sends requests of a kind, each to another VM than the one before. */
+/* Looks up things at a VM, unless the store turns it away. */
 static void *run_caller(void *context)
 {
-	static int last_id;
-	enum kind kind = (enum kind)(intptr_t)context;
-	unsigned int seed = (unsigned int)(intptr_t)&kind;
-	int64_t pause_ms = 0;
-	int last_status = 0;
+	const int number = (int)(intptr_t)context;
+	unsigned int seed = (unsigned int)number;
+	int count = 0;
 	char id[32];
-	int status;
-	int number;
 
 	while (!stopping) {
-		pthread_mutex_lock(&lock);
-		number = ++last_id;
-		counts[kind].sent++;
-		pthread_mutex_unlock(&lock);
-		snprintf(id, sizeof(id), "%s-%d",
-			 kind == KIND_LIST ? "list" : "order", number);
-		status = call(&vms[number % VMS], kind, id, &pause_ms);
-		pthread_mutex_lock(&lock);
-		counts[kind].served += status == 200;
-		pthread_mutex_unlock(&lock);
-		if (status != last_status)
-			record("caller: %s at %s is answered %d", id,
-			       vms[number % VMS].name, status);
-		last_status = status;
-		sleep_ms(pause_ms + rand_r(&seed) % PAUSE_MS);
+		snprintf(id, sizeof(id), "stock-%d-%d", number + 1, ++count);
+		if (away != number)
+			look_up(&vms[number], id, rand_r(&seed) % 47);
+		sleep_ms(LOOKUP_EVERY_MS);
 	}
 	return NULL;
 }
 
-/* @return the server that runs most requests. */
-static struct server *find_busiest(void)
+/* @return the VM through which the first one reads from the store, or -1. */
+static int find_relay(void)
 {
-	struct server *busiest = &servers[0];
+	static const char text[] = "reads go by another VM now vm=";
+	FILE *log = fopen(vms[0].log, "r");
+	char line[2048];
+	char name[32];
+	int relay = -1;
 	int i;
 
-	for (i = 1; i < SERVERS; i++)
-		if (servers[i].running && servers[i].load > busiest->load)
-			busiest = &servers[i];
-	return busiest;
+	while (log && fgets(line, sizeof(line), log)) {
+		const char *at = strstr(line, text);
+
+		name[0] = '\0';
+		if (!at || sscanf(at + strlen(text), "%31s", name) != 1)
+			continue;
+		for (i = 0; i < VMS; i++)
+			if (!strcmp(vms[i].name, name))
+				relay = i;
+	}
+	if (log)
+		fclose(log);
+	return relay;
 }
 
-static double share(int served, int sent)
+static void run_cycle(int number)
 {
-	return sent ? (double)served / sent : 0;
+	int64_t refused_ms = REFUSED_MS + number * REFUSED_LONGER_MS;
+	int relay = find_relay();
+
+	if (relay < 0)
+		give_up("no VM reads for the others");
+	if (!case_has_trouble()) {
+		sleep_ms(refused_ms + SERVED_MS);
+		return;
+	}
+	away = relay;
+	record("store: turns %s away with 503", vms[relay].name);
+	store_refuse(&doors[relay], true);
+	sleep_ms(refused_ms);
+	record("store: serves %s again", vms[relay].name);
+	store_refuse(&doors[relay], false);
+	sleep_ms(SERVED_MS);
+	away = -1;
 }
 
 int main(void)
 {
-	const struct counts *list = &counts[KIND_LIST];
-	const struct counts *orders = &counts[KIND_ORDER];
-	double list_share;
-	double all_share;
 	intptr_t i;
 
 	case_begin();
 	store_start();
 	store_put("op/config", config);
-	for (i = 0; i < SERVERS; i++) {
-		servers[i].number = (int)i + 1;
-		start_server(&servers[i]);
+	for (i = 0; i < STABLE_SERVERS; i++)
+		start_server();
+	for (i = 0; i < VMS; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "entry-%d", (int)i + 1);
+		store_open_door(&doors[i]);
+		vms[i].store_port = doors[i].port;
+		entry_start(&vms[i], name, "leic-a");
 	}
-	entry_start(&vms[0], "entry-1", "leic-a");
-	entry_start(&vms[1], "entry-2", "leic-b");
 	for (i = 0; i < VMS; i++)
 		entry_wait_ready(&vms[i]);
-	for (i = 0; i < LIST_CALLERS; i++)
-		start_thread(run_caller, (void *)KIND_LIST);
-	for (i = 0; i < ORDER_CALLERS; i++)
-		start_thread(run_caller, (void *)KIND_ORDER);
-	sleep_ms(FIRST_CRASH_MS);
-	if (case_has_trouble())
-		crash(find_busiest());
-	sleep_ms(SECOND_CRASH_MS - FIRST_CRASH_MS);
-	if (case_has_trouble())
-		crash(find_busiest());
-	sleep_ms(DAY_MS - SECOND_CRASH_MS);
+	sleep_ms(4000);
+	start_thread(run_release, NULL);
+	for (i = 0; i < VMS; i++)
+		start_thread(run_caller, (void *)i);
+	for (i = 0; i < CYCLES; i++)
+		run_cycle((int)i);
 	stopping = true;
-	list_share = share(list->served, list->sent);
-	all_share =
-		share(list->served + orders->served, list->sent + orders->sent);
-	record("served: %d of %d look-ups (%.2f), %d of %d orders; %.2f of all",
-	       list->served, list->sent, list_share, orders->served,
-	       orders->sent, all_share);
-	case_end(list_share < all_share / 4 ? RULE_BROKEN : RULE_HELD);
+	record("%d requests reached a server later than %d ms after the store "
+	       "had removed its entry; %d servers were replaced",
+	       late_count, DRAIN_MS + SLACK_MS,
+	       server_count - STABLE_SERVERS - LISTED_STEPS);
+	case_end(late_count ? RULE_BROKEN : RULE_HELD);
 }
