--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,6 +1,7 @@
 #include "standin.h"
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,285 +10,287 @@
 
 /**
  * @file
- * The backend servers of a service are replaced, two a second. Six times the
- * store turns one of three entry VMs away for nine seconds: the one through
- * which the others read.
+ * A backend server in trouble answers look-ups with a body that has no end and
+ * comes in small pieces. The case stands in for the platform too: it ends a
+ * process that exceeds its memory, and starts it again.
  */
 
-#define VMS 3
-#define STABLE_SERVERS 4
-#define SERVERS_MAX 256
-#define CONNECTIONS_MAX 512
-#define STEP_MS 500
-#define LEAVES_AFTER_START_MS 200
-#define LISTED_STEPS 6
-/* DrainMs and some seconds: then a server that left exits. */
-#define SERVES_ON_STEPS 14
-#define DRAIN_MS 2500
-#define SLACK_MS 200
-#define CYCLES 6
-#define REFUSED_MS 9000
-/* Longer each time, so that it ends at another moment of a step. */
-#define REFUSED_LONGER_MS 70
-#define SERVED_MS 6000
-#define LOOKUP_EVERY_MS 40
+#define VMS 2
+#define MEMORY_MB 182
+#define MEMORY_CHECK_MS 5
+#define RESTART_MS 1000
+#define ROUNDS 4
+#define LOOKUPS 4
 #define DEADLINE_MS 4000
+#define READ_BYTES 65536
+#define ORDER_RUN_MS 300
+#define ENDS_MAX 2
+#define PIECES 10000
+#define PIECE "1\r\nx\r\n"
 
 static const char config[] =
 	"{\"Version\":\"00000007\",\"Routes\":{"
-	"\"stock\":{\"Host\":\"shop.example\",\"Prefix\":\"/stock/\","
-	"\"Kind\":\"idempotent\",\"TimeoutMs\":4000,\"TargetLatencyMs\":600,"
-	"\"Priority\":2,\"Service\":\"counter\",\"MaxAttempts\":2,"
-	"\"Sticky\":true,\"HomeRegions\":[]}},"
+	"\"note\":{\"Host\":\"shop.example\",\"Prefix\":\"/note/\","
+	"\"Kind\":\"idempotent\",\"TimeoutMs\":12000,\"TargetLatencyMs\":1500,"
+	"\"Priority\":2,\"Service\":\"docket\",\"MaxAttempts\":2,"
+	"\"Sticky\":true,\"HomeRegions\":[]},"
+	"\"order\":{\"Host\":\"shop.example\",\"Prefix\":\"/order/\","
+	"\"Kind\":\"non_idempotent\",\"TimeoutMs\":6000,"
+	"\"TargetLatencyMs\":800,\"Priority\":1,\"Service\":\"counter\","
+	"\"MaxAttempts\":2,\"Sticky\":true,\"HomeRegions\":[]}},"
 	"\"Services\":{\"counter\":{\"HealthPath\":\"/health\","
 	"\"MaxConns\":845,\"Protocol\":\"h1\",\"Tls\":false,"
-	"\"ColdStartS\":3.0,\"ColdPerS\":5.7}},"
+	"\"ColdStartS\":3.0,\"ColdPerS\":5.7},"
+	"\"docket\":{\"HealthPath\":\"/health\",\"MaxConns\":845,"
+	"\"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":3.0,"
+	"\"ColdPerS\":5.7}},"
 	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
 	"\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
 
-struct server {
-	char id[32];
-	uint16_t port;
-	int listener;
-	int64_t left_ms; /* when the store removed its entry; 0: not yet */
-	bool exited;
-	int late_count;
-};
-
-struct connection {
-	struct server *server;
-	int fd;
-};
-
-static struct server servers[SERVERS_MAX];
-static struct store_door doors[VMS];
 static struct entry_vm vms[VMS];
-static struct connection connections[CONNECTIONS_MAX];
+static long peak_kb[VMS];
+static int ends[VMS];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static int server_count;
-static int late_count;
-static volatile int away = -1; /* the VM that is turned away, or was lately */
+static int lookups_left;
+static int orders_lost;
 static volatile bool stopping;
 
-static struct connection *add_connection(struct server *server, int fd)
+static bool answer(struct link *link, const char *id)
 {
-	struct connection *connection = NULL;
-	int i;
-
-	pthread_mutex_lock(&lock);
-	for (i = 0; i < CONNECTIONS_MAX && !connection; i++)
-		if (!connections[i].server)
-			connection = &connections[i];
-	if (!connection)
-		give_up("there are too many connections");
-	connection->server = server;
-	connection->fd = fd;
-	pthread_mutex_unlock(&lock);
-	return connection;
+	return write_text(link->fd,
+			  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			  "Response-Stamp: %s.1\r\nContent-Length: 2\r\n\r\nok",
+			  id, id);
 }
 
-static void check_request(struct server *server, const char *id)
+static void answer_without_end(struct link *link, const char *id)
 {
-	int64_t since_ms;
+	const size_t bytes = PIECES * strlen(PIECE);
+	char *pieces = malloc(bytes + 1);
+	size_t sent = 0;
+	int i;
 
-	pthread_mutex_lock(&lock);
-	since_ms = server->left_ms ? now_ms() - server->left_ms : 0;
-	if (since_ms > DRAIN_MS + SLACK_MS) {
-		late_count++;
-		if (server->late_count++ < 3)
-			record("server: %s reaches %s %lld ms after the store "
-			       "removed its entry",
-			       id, server->id, (long long)since_ms);
-	}
-	pthread_mutex_unlock(&lock);
+	for (i = 0; i < PIECES; i++)
+		memcpy(pieces + (size_t)i * strlen(PIECE), PIECE, strlen(PIECE));
+	record("server: %s begins a body without end", id);
+	if (write_text(link->fd,
+		       "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+		       "Response-Stamp: %s.1\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n",
+		       id, id))
+		while (write_all(link->fd, pieces, bytes))
+			sent += bytes;
+	record("server: %s: the VM has closed the connection after %zu bytes",
+	       id, sent);
+	free(pieces);
 }
 
 static void serve(struct link *link, void *context)
 {
-	struct server *server = context;
-	struct connection *connection = add_connection(server, link->fd);
 	struct message *request = calloc(1, sizeof(*request));
+	bool goes_on = true;
 	char id[64];
 
-	while (read_head(link, request) && read_body(link, request)) {
-		free(request->body);
+	(void)context;
+	while (goes_on && read_head(link, request) && read_body(link, request)) {
 		get_header(request, "Request-Id", id, sizeof(id));
-		check_request(server, id);
-		if (!write_text(link->fd,
-				"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-				"Response-Stamp: %s.1\r\n"
-				"Backend-Load: 0,0,9\r\n"
-				"Content-Length: 2\r\n\r\nok",
-				id, id))
+		free(request->body);
+		if (strstr(request->head, " /note/") && case_has_trouble()) {
+			answer_without_end(link, id);
 			break;
+		}
+		if (strstr(request->head, " /order/"))
+			sleep_ms(ORDER_RUN_MS);
+		goes_on = answer(link, id);
 	}
-	pthread_mutex_lock(&lock);
-	connection->server = NULL;
-	pthread_mutex_unlock(&lock);
 	free(request);
 }
 
-static void start_server(void)
+static long read_memory_kb(pid_t pid)
 {
-	struct server *server = &servers[server_count++];
-
-	snprintf(server->id, sizeof(server->id), "server-%d", server_count);
-	server->listener = listen_anywhere(&server->port);
-	serve_connections(server->listener, serve, server);
-	store_put_server(server->id, "counter", "leic-a", server->port, 9, 1);
-}
-
-static void leave(struct server *server)
-{
-	char key[64];
-
-	snprintf(key, sizeof(key), "servers/%s", server->id);
-	store_remove(key);
-	pthread_mutex_lock(&lock);
-	server->left_ms = now_ms();
-	pthread_mutex_unlock(&lock);
+	char path[64];
+	char line[128];
+	long kb = 0;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	file = fopen(path, "r");
+	while (file && fgets(line, sizeof(line), file))
+		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
+			break;
+	if (file)
+		fclose(file);
+	return kb;
 }
 
-static void exit_server(struct server *server)
+/* The platform's part: ends and restarts processes over their memory. */
+static void *run_platform(void *context)
 {
 	int i;
 
-	pthread_mutex_lock(&lock);
-	server->exited = true;
-	stop_listening(server->listener);
-	for (i = 0; i < CONNECTIONS_MAX; i++)
-		if (connections[i].server == server)
-			shutdown(connections[i].fd, SHUT_RDWR);
-	pthread_mutex_unlock(&lock);
+	while (!stopping) {
+		sleep_ms(MEMORY_CHECK_MS);
+		for (i = 0; i < VMS; i++) {
+			long kb = read_memory_kb(vms[i].pid);
+
+			if (kb > peak_kb[i])
+				peak_kb[i] = kb;
+			if (kb <= MEMORY_MB * 1024L)
+				continue;
+			record("platform: %s uses %ld kB, more than %d MB, and "
+			       "is killed",
+			       vms[i].name, kb, MEMORY_MB);
+			kill(vms[i].pid, SIGKILL);
+			while (!entry_has_ended(&vms[i]))
+				sleep_ms(1);
+			ends[i]++;
+			sleep_ms(RESTART_MS);
+			entry_start(&vms[i], vms[i].name, vms[i].zone);
+		}
+	}
+	return context;
 }
 
-/* Replaces servers: a new one starts first, then an old one leaves. */
-static void *run_release(void *context)
+static bool send_request(struct link *link, const char *method,
+			 const char *path, const char *id)
 {
-	while (!stopping && server_count < SERVERS_MAX) {
-		int leaving = server_count - LISTED_STEPS;
-		int exiting = leaving - SERVES_ON_STEPS;
-
-		start_server();
-		sleep_ms(LEAVES_AFTER_START_MS);
-		if (leaving >= STABLE_SERVERS)
-			leave(&servers[leaving]);
-		if (exiting >= STABLE_SERVERS)
-			exit_server(&servers[exiting]);
-		sleep_ms(STEP_MS - LEAVES_AFTER_START_MS);
-	}
-	return context;
+	return write_text(link->fd,
+			  "%s %s HTTP/1.1\r\nHost: shop.example\r\n"
+			  "Request-Id: %s\r\nDeadline-Ms: %d\r\n"
+			  "Content-Length: 0\r\n\r\n",
+			  method, path, id, DEADLINE_MS);
 }
 
-static void look_up(const struct entry_vm *vm, const char *id, unsigned int object)
+struct lookup {
+	const struct entry_vm *vm;
+	int round;
+	int number;
+};
+
+/* Reads an answer as fast as it comes, until the deadline. */
+static void *run_lookup(void *context)
 {
+	struct lookup *lookup = context;
 	struct link *link = calloc(1, sizeof(*link));
-	struct message *response = calloc(1, sizeof(*response));
+	char *buffer = malloc(READ_BYTES);
+	int64_t began_ms = now_ms();
+	size_t have = 0;
+	ssize_t got = 1;
+	char id[64];
 
-	link->fd = connect_to(vm->request_port, 0, 0);
-	if (write_text(link->fd,
-		       "GET /stock/%u HTTP/1.1\r\nHost: shop.example\r\n"
-		       "Request-Id: %s\r\nDeadline-Ms: %d\r\n"
-		       "Cookie: Affinity-Key=%u\r\n\r\n",
-		       object, id, DEADLINE_MS, object))
-		read_head(link, response);
+	snprintf(id, sizeof(id), "note-%s-%d-%d", lookup->vm->name,
+		 lookup->round, lookup->number);
+	link->fd = connect_to(lookup->vm->request_port, 0, 0);
+	record("caller: %s is sent", id);
+	if (link->fd < 0 || !send_request(link, "GET", "/note/7", id))
+		got = 0;
+	while (got > 0 && now_ms() - began_ms < DEADLINE_MS) {
+		got = recv(link->fd, buffer, READ_BYTES, 0);
+		have += got > 0 ? (size_t)got : 0;
+		if (!case_has_trouble())
+			break;
+	}
+	record("caller: %s has got %zu bytes%s", id, have,
+	       got > 0 ? "" : ", the connection is closed");
 	close(link->fd);
+	free(buffer);
 	free(link);
-	free(response);
+	free(lookup);
+	pthread_mutex_lock(&lock);
+	lookups_left--;
+	pthread_mutex_unlock(&lock);
+	return NULL;
 }
 
-/* Looks up things at a VM, unless the store turns it away. */
-static void *run_caller(void *context)
+/* Places orders on a kept connection to a VM, at a server without trouble. */
+static void *run_orders(void *context)
 {
-	const int number = (int)(intptr_t)context;
-	unsigned int seed = (unsigned int)number;
-	int count = 0;
-	char id[32];
+	const struct entry_vm *vm = context;
+	struct link *link = calloc(1, sizeof(*link));
+	struct message *response = calloc(1, sizeof(*response));
+	int number = 0;
+	char id[64];
 
+	link->fd = -1;
 	while (!stopping) {
-		snprintf(id, sizeof(id), "stock-%d-%d", number + 1, ++count);
-		if (away != number)
-			look_up(&vms[number], id, rand_r(&seed) % 47);
-		sleep_ms(LOOKUP_EVERY_MS);
+		if (link->fd < 0)
+			link->fd = connect_to(vm->request_port, 0, 0);
+		if (link->fd < 0) {
+			sleep_ms(100);
+			continue;
+		}
+		link->used = 0;
+		snprintf(id, sizeof(id), "order-%s-%d", vm->name, ++number);
+		if (send_request(link, "POST", "/order/1", id) &&
+		    read_head(link, response) && read_body(link, response)) {
+			free(response->body);
+			continue;
+		}
+		if (!stopping) {
+			record("caller: %s has no answer, the connection is "
+			       "closed",
+			       id);
+			orders_lost++;
+		}
+		close(link->fd);
+		link->fd = -1;
 	}
 	return NULL;
 }
 
-/* @return the VM through which the first one reads from the store, or -1. */
-static int find_relay(void)
+static void run_round(int round)
 {
-	static const char text[] = "reads go by another VM now vm=";
-	FILE *log = fopen(vms[0].log, "r");
-	char line[2048];
-	char name[32];
-	int relay = -1;
 	int i;
+	int k;
 
-	while (log && fgets(line, sizeof(line), log)) {
-		const char *at = strstr(line, text);
-
-		name[0] = '\0';
-		if (!at || sscanf(at + strlen(text), "%31s", name) != 1)
-			continue;
-		for (i = 0; i < VMS; i++)
-			if (!strcmp(vms[i].name, name))
-				relay = i;
-	}
-	if (log)
-		fclose(log);
-	return relay;
-}
-
-static void run_cycle(int number)
-{
-	int64_t refused_ms = REFUSED_MS + number * REFUSED_LONGER_MS;
-	int relay = find_relay();
-
-	if (relay < 0)
-		give_up("no VM reads for the others");
-	if (!case_has_trouble()) {
-		sleep_ms(refused_ms + SERVED_MS);
-		return;
-	}
-	away = relay;
-	record("store: turns %s away with 503", vms[relay].name);
-	store_refuse(&doors[relay], true);
-	sleep_ms(refused_ms);
-	record("store: serves %s again", vms[relay].name);
-	store_refuse(&doors[relay], false);
-	sleep_ms(SERVED_MS);
-	away = -1;
+	lookups_left = VMS * LOOKUPS;
+	for (i = 0; i < VMS; i++)
+		for (k = 0; k < LOOKUPS; k++) {
+			struct lookup *lookup = calloc(1, sizeof(*lookup));
+
+			lookup->vm = &vms[i];
+			lookup->round = round;
+			lookup->number = k;
+			start_thread(run_lookup, lookup);
+		}
+	while (lookups_left)
+		sleep_ms(50);
+	sleep_ms(2 * RESTART_MS);
+	for (i = 0; i < VMS; i++)
+		entry_wait_ready(&vms[i]);
+	sleep_ms(500);
 }
 
 int main(void)
 {
-	intptr_t i;
+	uint16_t ports[2];
+	int broken = 0;
+	int i;
 
 	case_begin();
 	store_start();
 	store_put("op/config", config);
-	for (i = 0; i < STABLE_SERVERS; i++)
-		start_server();
-	for (i = 0; i < VMS; i++) {
-		char name[32];
-
-		snprintf(name, sizeof(name), "entry-%d", (int)i + 1);
-		store_open_door(&doors[i]);
-		vms[i].store_port = doors[i].port;
-		entry_start(&vms[i], name, "leic-a");
-	}
+	for (i = 0; i < 2; i++)
+		serve_connections(listen_anywhere(&ports[i]), serve, NULL);
+	store_put_server("server-1", "counter", "leic-a", ports[0], 9, 1);
+	store_put_server("server-2", "docket", "leic-a", ports[1], 9, 1);
+	entry_start(&vms[0], "entry-1", "leic-a");
+	entry_start(&vms[1], "entry-2", "leic-b");
 	for (i = 0; i < VMS; i++)
 		entry_wait_ready(&vms[i]);
-	sleep_ms(4000);
-	start_thread(run_release, NULL);
+	start_thread(run_platform, NULL);
 	for (i = 0; i < VMS; i++)
-		start_thread(run_caller, (void *)i);
-	for (i = 0; i < CYCLES; i++)
-		run_cycle((int)i);
+		start_thread(run_orders, &vms[i]);
+	for (i = 1; i <= ROUNDS; i++)
+		run_round(i);
 	stopping = true;
-	record("%d requests reached a server later than %d ms after the store "
-	       "had removed its entry; %d servers were replaced",
-	       late_count, DRAIN_MS + SLACK_MS,
-	       server_count - STABLE_SERVERS - LISTED_STEPS);
-	case_end(late_count ? RULE_BROKEN : RULE_HELD);
+	sleep_ms(RESTART_MS + 200);
+	for (i = 0; i < VMS; i++) {
+		record("%s was ended %d times, %d are allowed; its peak was "
+		       "%ld kB",
+		       vms[i].name, ends[i], ENDS_MAX, peak_kb[i]);
+		broken += ends[i] > ENDS_MAX;
+	}
+	record("%d orders at the other server have no answer", orders_lost);
+	case_end(broken == VMS ? RULE_BROKEN : RULE_HELD);
 }
