fix(proxy): response bodies in small chunks take no more memory than bytes

Problem: a server that answered in chunks of one byte without end took entry VMs over their memory within a second, and with them the requests at other servers (FAULT). A streamed response is limited to 512 KB of unsent bytes, but the block in which each chunk was read, 1 KB, was moved into the output with it: 512 KB of 6-byte chunks are 87,381 blocks, 89 MB. One response took a VM to 92,512 kB, which is that figure; input, held responses and the parser are limited to less than a hundredth of it. On a related path, a request's body was copied into one block to hash it. Solution: buffer_append() copies pieces under 1 KB into the output; buffer_hash() hashes a body where it lies, with the same result. The stand-in sends endless chunks; the functional test and the soak check the peak of the memory instead of what is left afterwards.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -29,6 +29,7 @@
 #define THINK_MIN_MS 10
 #define THINK_MAX_MS 90
 #define OBJECT_COUNT 40
+#define BODY_BYTES_MAX 65536
 #define ADDRESSES_MAX 64
 #define VERSIONS_MAX 256
 
@@ -120,7 +121,11 @@
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
 {
-	evbuffer_add(((struct caller *)context)->body, data, bytes);
+	struct evbuffer *body = ((struct caller *)context)->body;
+
+	/* the rest of a response without end */
+	if (evbuffer_get_length(body) + bytes <= BODY_BYTES_MAX)
+		evbuffer_add(body, data, bytes);
 }
 
 static void on_complete(void *context)
--- a/soak/main.c
+++ b/soak/main.c
@@ -105,7 +105,7 @@
 	run_after(soak, RESPONSE_GRACE_MS, on_callers_done, soak);
 }
 
-/* @return the resident memory of a process, or 0 if unknown. */
+/* @return the most resident memory that a process has had; 0: unknown. */
 static uint32_t process_rss_kb(pid_t pid)
 {
 	char *name = g_strdup_printf("/proc/%d/status", pid);
@@ -114,8 +114,8 @@
 	char *line;
 
 	if (g_file_get_contents(name, &text, NULL, NULL)) {
-		line = strstr(text, "VmRSS:");
-		kb = line ? (uint32_t)atoi(line + strlen("VmRSS:")) : 0;
+		line = strstr(text, "VmHWM:");
+		kb = line ? (uint32_t)atoi(line + strlen("VmHWM:")) : 0;
 		g_free(text);
 	}
 	g_free(name);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -24,7 +24,7 @@
 struct kind_info {
 	const char *name;
 	bool planned;
-	const char *how_values[8]; /* allowed values of HOW */
+	const char *how_values[12]; /* allowed values of HOW */
 	gint32 for_min_ms;
 	gint32 for_max_ms;
 	gint32 weight; /* relative frequency in generated plans */
@@ -54,7 +54,8 @@
 	[SOAK_SERVER] = { "server",
 			  false,
 			  { "refuse", "lose", "cut", "other-id", "unstamped",
-			    "busy", "endless-head", "endless-body" },
+			    "busy", "endless-head", "endless-body",
+			    "endless-stamped", "endless-chunks" },
 			  500,
 			  4000,
 			  3 },
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "net/buffer.h"
 #include "net/http_stream.h"
 #include "net/responder.h"
 #include "net/timer.h"
@@ -136,7 +137,7 @@
 	if (request->wants_continue)
 		evbuffer_add_printf(out, "HTTP/1.1 100 Continue\r\n\r\n");
 	request->wants_continue = false;
-	evbuffer_add_buffer(out, request->held);
+	buffer_append(out, request->held);
 	if (request->waits_for_turn) {
 		request->waits_for_turn = false;
 		exchange_process_request(request->exchange);
@@ -375,7 +376,7 @@
 	evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", status,
 			    responder_reason_phrase(status));
 	if (headers)
-		evbuffer_add_buffer(out, headers);
+		buffer_append(out, headers);
 	if (framing == FRAMING_CONTENT_LENGTH)
 		evbuffer_add_printf(out, "Content-Length: %" PRIu64 "\r\n",
 				    bytes);
@@ -395,7 +396,7 @@
 		return;
 	if (request->framing == FRAMING_CHUNKED)
 		evbuffer_add_printf(out, "%zx\r\n", bytes);
-	evbuffer_add_buffer(out, body);
+	buffer_append(out, body);
 	if (request->framing == FRAMING_CHUNKED)
 		evbuffer_add(out, "\r\n", 2);
 }
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -9,6 +9,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "net/buffer.h"
 #include "net/timer.h"
 #include "platform/header_codec.h"
 #include "proxy/crash.h"
@@ -198,12 +199,11 @@
  * differs each time. */
 static uint64_t hash_request(struct exchange *e)
 {
-	size_t bytes = evbuffer_get_length(e->body);
 	const char *line = (const char *)evbuffer_pullup(e->head, -1);
 	uint64_t parts[3] = {
 		XXH3_64bits(line, strcspn(line, "\r")),
 		e->has_object ? e->object_hash : 0,
-		XXH3_64bits(evbuffer_pullup(e->body, -1), bytes),
+		buffer_hash(e->body),
 	};
 
 	return XXH3_64bits(parts, sizeof(parts));
--- a/standin/endless.h
+++ b/standin/endless.h
@@ -11,13 +11,17 @@
 
 struct endless;
 
+/** Stands for the request's ID in the start of a response. */
+#define ENDLESS_ID "{id}"
+
 /**
  * @param address "IP:port" to listen on.
- * @param start sent first; the byte `x` follows without end.
+ * @param start sent first.
+ * @param piece follows again and again.
  * @return a server that the caller frees, or NULL.
  */
 struct endless *endless_new(struct event_base *base, const char *address,
-			    const char *start);
+			    const char *start, const char *piece);
 void endless_free(struct endless *endless);
 
 #endif
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -24,6 +24,7 @@
 	FAULT_ENDLESS_HEAD,
 	FAULT_ENDLESS_BODY,
 	FAULT_ENDLESS_STAMPED,
+	FAULT_ENDLESS_CHUNKS,
 };
 
 static const char *const fault_names[] = {
@@ -40,14 +41,23 @@
 	"endless-head",
 	"endless-body",
 	"endless-stamped",
+	"endless-chunks",
 };
 
-/* What an endless response starts with. */
-static const char *const endless_starts[] = {
-	[FAULT_ENDLESS_HEAD] = "HTTP/1.1 200 OK\r\nX: ",
-	[FAULT_ENDLESS_BODY] = "HTTP/1.1 200 OK\r\n\r\n",
-	[FAULT_ENDLESS_STAMPED] =
-		"HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\nRequest-Id: endless\r\n\r\n",
+struct endless_response {
+	const char *start;
+	const char *piece;
+};
+
+#define STAMPED \
+	"HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\nRequest-Id: " ENDLESS_ID "\r\n"
+
+static const struct endless_response endless_responses[] = {
+	[FAULT_ENDLESS_HEAD] = { "HTTP/1.1 200 OK\r\nX: ", "x" },
+	[FAULT_ENDLESS_BODY] = { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+	[FAULT_ENDLESS_STAMPED] = { STAMPED "\r\n", "x" },
+	[FAULT_ENDLESS_CHUNKS] = { STAMPED "Transfer-Encoding: chunked\r\n\r\n",
+				   "1\r\nx\r\n" },
 };
 
 /* While the server is slow, other callers' requests are ahead for this time. */
@@ -312,8 +322,10 @@
 	endless_free(server->endless);
 	server->endless = NULL;
 	if (is_endless(server->fault))
-		server->endless = endless_new(server->base, server->address,
-					      endless_starts[server->fault]);
+		server->endless =
+			endless_new(server->base, server->address,
+				    endless_responses[server->fault].start,
+				    endless_responses[server->fault].piece);
 	else
 		server->responder = responder_new(server->base, server->address,
 						  on_request, server);
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -58,8 +58,8 @@
  * Retry-After of 2.5 s), slow (as if other callers' requests were ahead for
  * 4 s; then refuses those whose deadline has passed), slow-no-load (slow,
  * and reports no load), endless-head, endless-body, endless-stamped (bytes
- * without end in the head, in an invalid body, in a body with a stamp and the
- * request id "endless").
+ * without end in the head, in an invalid body, in a body with a stamp),
+ * endless-chunks (a body with a stamp, in chunks of one byte).
  *
  * @return false if `name` is none of these.
  */
--- a/test/functional/platform_lib.sh
+++ b/test/functional/platform_lib.sh
@@ -46,13 +46,13 @@
 	\"HomeRegions\":[${5:-}]}"
 }
 
-# config VERSION ROUTES [SERVICES]: publishes a configuration; SERVICES follow
-# the service reg.
+# config VERSION ROUTES [SERVICES] [BODY_BYTES_MAX]: publishes a configuration;
+# SERVICES follow the service reg.
 config() {
 	steer /config "{\"Version\":\"$1\",\"Routes\":{$2},\"Services\":{
 	\"reg\":{\"HealthPath\":\"/health\",\"MaxConns\":800,
 	\"ColdStartS\":3.0,\"ColdPerS\":5.7}${3:-}},
-	\"Limits\":{\"MaxHeaderBytes\":2000,\"MaxBodyBytes\":100000,
+	\"Limits\":{\"MaxHeaderBytes\":2000,\"MaxBodyBytes\":${4:-100000},
 	\"HeaderTimeoutMs\":1000,\"IdleTimeoutMs\":5000}}"
 }
 
--- a/test/functional/platform_servers.sh
+++ b/test/functional/platform_servers.sh
@@ -65,13 +65,13 @@
 fault s2 none
 expect "it gets requests afterwards" fleet_wait 5 responds_with 200 e1 /look/1
 
-# memory_kb: prints the memory of e1.
+# memory_kb: prints the most memory that e1 has had.
 memory_kb() {
-	awk '/^VmRSS/ { print $2 }' "/proc/${VM_PID[e1]}/status"
+	awk '/^VmHWM/ { print $2 }' "/proc/${VM_PID[e1]}/status"
 }
 config 00000002 "$(route look /look/ idempotent reg),$(route order /order/ non_idempotent reg)"
 memory=$(memory_kb)
-for kind in endless-head endless-body endless-stamped; do
+for kind in endless-head endless-body endless-stamped endless-chunks; do
 	fault s2 $kind
 	began=$(date +%s%N)
 	STATUS=$(curl -s -m 10 -o /dev/null -w '%{http_code}' -d x \
@@ -85,3 +85,13 @@
 done
 fault s2 none
 expect "the VM still serves" fleet_wait 15 responds_with 200 e1 /look/1
+
+# A body is held once, not copied when it is complete.
+config 00000003 "$(route look /look/ idempotent reg),$(route order /order/ non_idempotent reg)" \
+	"" 60000000
+expect "the limits are in force" fleet_wait 10 has_logged e1 'in force version=00000003'
+head -c 40000000 /dev/zero >"$OUT/large"
+memory=$(memory_kb)
+send_request e1 /order/large --data-binary @"$OUT/large" -m 10
+echo "large body: status $STATUS, memory $(memory_kb) kB, before $memory kB"
+expect "large body: memory is that of the body" test $(($(memory_kb) - memory)) -lt $((40000000 / 1024 + 8192))
