fix(kv): a watch whose response was lost is given up before it matters

Problem: after the store was silent for 0.25 s, all VMs of whole failure domains ran requests by an old configuration and into an evacuated domain for 13.5 s (CONFIG, EVAC, HOME). A watch that the store received in the silence, or an event that fell into it, gets no response. It was given up after its wait of 12 s and 1.5 s; only a failed renewal of the lease ends it earlier, and renewals 0.5 s apart miss a silence of 0.25 s. Until then the relay passed its copy on as current: in a test the relay had the old version itself 13 s after the silence and the new one after 15 s. Solution: a watch at the store is given up after three quarters of the time in which a fleet must recover, for all prefixes: 2 s of wait and 1 s for the response. A relay holds the reads of its followers while it reads the keys again, unless the store is known to be unreachable. The stand-in, when silent, no longer ends watches but loses their responses. The soak draws outages of 50 ms and more, with changes around them. Watches are marked as such, for the latency histogram.

--- a/soak/plan.c
+++ b/soak/plan.c
@@ -21,6 +21,13 @@
 /* The event loop may fire a timer this much too early. */
 #define TIMER_EARLY_MS 20
 
+/* An outage of the store that calls of VMs may miss. */
+#define STORE_BRIEF_MAX_MS 400
+/* Configurations are published in a series around an outage of the store. */
+#define CHANGE_SERIES_COUNT 4
+#define CHANGE_SERIES_LEAD_MS 300
+#define CHANGE_SERIES_INTERVAL_MS 250
+
 struct kind_info {
 	const char *name;
 	bool planned;
@@ -36,7 +43,7 @@
 	[SOAK_PAUSE] = { "pause", false, { "-" }, 300, 6000, 4 },
 	[SOAK_HUP] = { "hup", true, { "-" }, 0, 0, 1 },
 	[SOAK_KILL_ALL] = { "kill-all", false, { "-" }, 100, 500, 1 },
-	[SOAK_STORE] = { "store", false, { "busy", "silent", "reset" }, 500, 6000, 3 },
+	[SOAK_STORE] = { "store", false, { "busy", "silent", "reset" }, 50, 6000, 5 },
 	[SOAK_COMPACT] = { "compact", false, { "-" }, 0, 0, 1 },
 	[SOAK_STORE_BACK] = { "store-back", false, { "-" }, 500, 4000, 3 },
 	[SOAK_STORE_LINK] = { "store-link",
@@ -144,6 +151,26 @@
 	}
 }
 
+/* Publishes configurations before, during and after an outage of the store: a
+ * watch is sent then, an event is lost, or the change is the first one after. */
+static void append_changes(struct soak_plan *plan, GRand *rand,
+			   const struct soak_event *outage)
+{
+	uint32_t i;
+
+	for (i = 0; i < CHANGE_SERIES_COUNT; i++) {
+		struct soak_event change = { .kind = SOAK_CONFIG, .how = "-" };
+
+		change.at_ms =
+			outage->at_ms - CHANGE_SERIES_LEAD_MS +
+			(int64_t)i * CHANGE_SERIES_INTERVAL_MS +
+			g_rand_int_range(rand, 0, CHANGE_SERIES_INTERVAL_MS);
+		change.at_ms =
+			CLAMP(change.at_ms, LEAD_MS, plan->length_ms - TAIL_MS);
+		g_array_append_val(plan->events, change);
+	}
+}
+
 struct soak_plan soak_plan_generate(uint32_t seed, int64_t length_ms)
 {
 	struct soak_plan plan = {
@@ -166,12 +193,16 @@
 			  sizeof(event.how));
 		event.for_ms = g_rand_int_range(rand, info->for_min_ms,
 						info->for_max_ms + 1);
+		if (event.kind == SOAK_STORE && g_rand_boolean(rand))
+			event.for_ms = MIN(event.for_ms, STORE_BRIEF_MAX_MS);
 		if (event.at_ms + event.for_ms > length_ms)
 			event.at_ms = MAX(LEAD_MS, length_ms - event.for_ms);
 		event.for_ms = MIN(event.for_ms, length_ms - event.at_ms);
 		g_array_append_val(plan.events, event);
 		if (event.kind == SOAK_SLOW)
 			append_stops(&plan, rand, &event);
+		if (event.kind == SOAK_STORE)
+			append_changes(&plan, rand, &event);
 	}
 	g_rand_free(rand);
 	g_array_sort(plan.events, compare_at_ms);
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -20,10 +20,6 @@
 /* Connecting takes one round trip, 70 ms between regions. */
 #define CONNECT_TIMEOUT_MS 500
 
-/* Calls with at least this timeout are watches, left out of the latency
- * histogram. */
-#define WATCH_TIMEOUT_MIN_MS 5000
-
 struct kv_channel {
 	struct event_base *base;
 	struct sockaddr_in address;
@@ -36,6 +32,7 @@
 	uint64_t era; /* see kv_channel_era() */
 	bool keep_alive;
 	bool is_compressed;  /* the response in progress is */
+	bool is_watch;	     /* the call in progress is */
 	uint32_t timeout_ms; /* of the call in progress */
 	int64_t sent_ms;     /* start of the call in progress */
 	kv_done_cb done;
@@ -52,7 +49,7 @@
 {
 	if (!status)
 		counter_add(COUNTER_STORE_ERRORS, 1);
-	else if (channel->timeout_ms < WATCH_TIMEOUT_MIN_MS)
+	else if (!channel->is_watch)
 		histogram_add(HISTOGRAM_STORE,
 			      clock_now_ms(&clock_system) - channel->sent_ms);
 }
@@ -207,6 +204,7 @@
 	channel->era = 0;
 	evbuffer_drain(channel->body, evbuffer_get_length(channel->body));
 	channel->timeout_ms = timeout_ms;
+	channel->is_watch = call->is_watch;
 	channel->sent_ms = clock_now_ms(&clock_system);
 	timer_start(channel->timeout,
 		    channel->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
--- a/src/kv/mirror.c
+++ b/src/kv/mirror.c
@@ -16,8 +16,6 @@
  * feed is stale and other VMs wait for it, or while the relay cannot reach the
  * store. */
 #define WATCH_WAIT_MIN_MS 1
-/* Time allowed for the response of a watch beyond its wait. */
-#define WATCH_SLACK_MS 1500
 /* Longest wait of one watch at a relay. A relay that crashed or is unreachable
  * is detected within this and the slack, well within the time after which a
  * draining server must get no more requests. */
@@ -81,9 +79,10 @@
 			 m->last_response_ms < 0 ? -1
 						 : now - m->last_response_ms);
 	}
-	/* the store also cuts watches while it is healthy: followers of this
-	 * VM's feed wait for the next call instead of calling the store */
-	if (m->in_outage || m->retry_ms)
+	/* the store also cuts watches, or loses their responses, while it is
+	 * healthy: followers of this VM's feed wait for the next call instead
+	 * of calling the store */
+	if (m->store_unreachable || m->retry_ms)
 		feed_interrupt(m->feed);
 	else
 		feed_begin_refresh(m->feed);
@@ -361,6 +360,7 @@
 						 : WATCH_WAIT_WITH_RELAY_MS;
 	else if (!feed_is_current(m->feed))
 		wait_ms = WATCH_WAIT_MIN_MS;
+	wait_ms = MIN(wait_ms, m->watch_wait_ms);
 	m->watch_in_progress = true;
 	kv_call_watch(&call, m->prefix, m->revision, wait_ms);
 	source_send(m->source, &call, wait_ms + slack_ms, on_watch, m);
--- a/src/kv/mirror.h
+++ b/src/kv/mirror.h
@@ -68,6 +68,13 @@
  */
 void mirror_set_history(struct mirror *mirror, uint32_t history_ms);
 
+/**
+ * Sets the time after which a watch whose response was lost is given up, at
+ * least twice the time allowed for a response; before mirror_start(). Until
+ * then, changes are unknown to this VM and to those that read from it.
+ */
+void mirror_set_lost_watch_timeout(struct mirror *mirror, uint32_t timeout_ms);
+
 /**
  * Lets the first `count` ranges at the store return data that is some seconds
  * old, which the store serves at a tenth of the price; before mirror_start(). A
--- a/src/kv/mirror_control.c
+++ b/src/kv/mirror_control.c
@@ -26,10 +26,17 @@
 
 void mirror_set_history(struct mirror *m, uint32_t history_ms)
 {
-	m->watch_wait_ms = MIN(WATCH_WAIT_MAX_MS,
+	m->watch_wait_ms = MIN(m->watch_wait_ms,
 			       history_ms / 100 * WATCH_WAIT_HISTORY_PERCENT);
 }
 
+void mirror_set_lost_watch_timeout(struct mirror *m, uint32_t timeout_ms)
+{
+	m->watch_wait_ms =
+		MIN(m->watch_wait_ms,
+		    MAX(timeout_ms, 2 * WATCH_SLACK_MS) - WATCH_SLACK_MS);
+}
+
 void mirror_set_rewrite_hold(struct mirror *m, uint32_t hold_ms)
 {
 	m->rewrite_hold_ms = hold_ms;
--- a/src/kv/mirror_internal.h
+++ b/src/kv/mirror_internal.h
@@ -10,6 +10,9 @@
 /* Longest wait of one watch. Shorter waits cost more calls; a longer one delays
  * the detection of a connection that is silently dead. */
 #define WATCH_WAIT_MAX_MS 20000
+/* Time allowed for the response of a watch beyond its wait. The store responds
+ * within 400 ms if it is a hundred times slower than usual. */
+#define WATCH_SLACK_MS 1000
 
 struct mirror {
 	struct event_base *base;
--- a/src/proxy/store_sync.c
+++ b/src/proxy/store_sync.c
@@ -55,6 +55,11 @@
  * from a copy: the operator writes it again. */
 #define OPERATOR_REWRITE_HOLD_MS 5000
 
+/* A connection on which the store lost a response returns nothing further: the
+ * watch on it is given up after this share of the time in which a fleet must
+ * recover. The rest is left for reading all keys again. */
+#define LOST_WATCH_PERCENT 75
+
 /* Ranges of the list of VMs that may be some seconds old: one shows the relay
  * to a VM that starts later; at the first start of the fleet, the second one
  * shows the VMs that started together. */
@@ -387,13 +392,21 @@
 
 static void set_store_limits(struct store_sync *store_sync)
 {
-	const struct proxy_settings *settings = store_sync->proxy->settings;
+	const struct proxy *proxy = store_sync->proxy;
+	const struct proxy_settings *settings = proxy->settings;
 	const uint32_t history_ms =
 		settings->store_history_s * (uint32_t)MS_PER_S;
-
-	mirror_set_history(store_sync->operator_keys, history_ms);
-	mirror_set_history(store_sync->server_keys, history_ms);
-	mirror_set_history(store_sync->fleet_keys, history_ms);
+	const uint32_t lost_watch_ms =
+		proxy->bounds.stability_ms / 100 * LOST_WATCH_PERCENT;
+	struct mirror *const mirrors[] = { store_sync->operator_keys,
+					   store_sync->server_keys,
+					   store_sync->fleet_keys };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(mirrors); i++) {
+		mirror_set_history(mirrors[i], history_ms);
+		mirror_set_lost_watch_timeout(mirrors[i], lost_watch_ms);
+	}
 	mirror_set_rewrite_hold(store_sync->operator_keys,
 				OPERATOR_REWRITE_HOLD_MS);
 	mirror_allow_stale_start(store_sync->fleet_keys,
--- a/standin/endless.c
+++ b/standin/endless.c
@@ -5,6 +5,7 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "net/listener.h"
 
@@ -113,14 +114,19 @@
 
 void endless_free(struct endless *endless)
 {
+	const struct linger reset_on_close = { 1, 0 };
 	struct bufferevent *bev;
 
 	if (!endless)
 		return;
 	if (endless->listener)
 		evconnlistener_free(endless->listener);
-	while ((bev = g_queue_pop_head(&endless->connections)))
+	/* a body without a length would be complete at an orderly close */
+	while ((bev = g_queue_pop_head(&endless->connections))) {
+		setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER,
+			   &reset_on_close, sizeof(reset_on_close));
 		bufferevent_free(bev);
+	}
 	g_free(endless->start);
 	g_free(endless->piece);
 	g_free(endless);
--- a/standin/platform_kv.c
+++ b/standin/platform_kv.c
@@ -104,7 +104,8 @@
 			 (json_int_t)item->lease);
 }
 
-/* Sends the events that a watch waits for. @return false if none was sent. */
+/* Sends the events that a watch waits for, or loses the response while the
+ * store is silent. @return false if there is no response yet. */
 static bool reply_to_watch(struct watch *watch, bool reply_if_empty)
 {
 	struct platform_kv *kv = watch->kv;
@@ -126,6 +127,11 @@
 		json_decref(events);
 		return false;
 	}
+	if (kv->fault == PLATFORM_KV_SILENT) {
+		watch->request->on_disconnect = NULL;
+		json_decref(events);
+		return true;
+	}
 	reply_json(kv, watch->request, 200,
 		   json_pack("{s:o,s:I}", "events", events, "CurrentRev",
 			     (json_int_t)kv->revision));
@@ -480,7 +486,8 @@
 		if (strcmp(name, fault_names[i]))
 			continue;
 		kv->fault = (enum platform_kv_fault)i;
-		if (kv->fault != PLATFORM_KV_NO_FAULT)
+		if (kv->fault == PLATFORM_KV_BUSY ||
+		    kv->fault == PLATFORM_KV_RESET)
 			platform_kv_cut_watches(kv);
 		return true;
 	}
--- a/standin/platform_kv.h
+++ b/standin/platform_kv.h
@@ -16,8 +16,10 @@
 
 enum platform_kv_fault {
 	PLATFORM_KV_NO_FAULT,
-	PLATFORM_KV_BUSY,   /**< responds 503 without handling the request */
-	PLATFORM_KV_SILENT, /**< never responds and does not handle the request */
+	PLATFORM_KV_BUSY, /**< responds 503 without handling the request */
+	/** Never responds and does not handle requests. Watches go on waiting;
+	 * a response that one would get meanwhile is lost. */
+	PLATFORM_KV_SILENT,
 	PLATFORM_KV_RESET, /**< resets connections without handling requests */
 };
 
--- a/test/unit/proxy/store_sync_test.c
+++ b/test/unit/proxy/store_sync_test.c
@@ -24,6 +24,10 @@
 #define CONFIG_BOUND_MS 2500
 /* A VM is used as relay for three seconds at least. */
 #define RELAY_MIN_MS 3000
+/* Time after a disruption of the store in which the fleet must recover. */
+#define STABILITY_MS 4000
+/* Shorter than the time between two renewals of a lease. */
+#define SHORT_SILENCE_MS 250
 
 struct vm_under_test {
 	struct proxy_settings settings;
@@ -124,6 +128,7 @@
 	proxy->base = base;
 	proxy->clock = &now;
 	proxy->settings = &vm->settings;
+	proxy->bounds.stability_ms = STABILITY_MS;
 	proxy->topology.domains = domains;
 	proxy->topology.domain_count = G_N_ELEMENTS(domains);
 	proxy->region = g_intern_string("fyn");
@@ -256,9 +261,54 @@
 	teardown();
 }
 
+static void assert_version_in_force(uint32_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < VMS; i++) {
+		g_assert_nonnull(vms[i].proxy.config);
+		g_assert_cmpuint(vms[i].proxy.config->version, ==, version);
+	}
+}
+
+/* The relay's watch reaches the store while it is silent, too shortly for any
+ * other call to fail. The VMs of the failure domain went on for 13.5 s with the
+ * configuration that the relay had. */
+static void watch_sent_during_a_short_silence(void)
+{
+	setup();
+	run_ms(1500);
+	publish(2);
+	run_ms(150);
+	platform_kv_set_fault(kv, "silent");
+	run_ms(SHORT_SILENCE_MS);
+	platform_kv_set_fault(kv, "sound");
+	publish(3);
+	run_ms(STABILITY_MS);
+	assert_version_in_force(3);
+	teardown();
+}
+
+/* The same, with a watch that waits and whose event falls into the silence. */
+static void event_during_a_short_silence(void)
+{
+	setup();
+	run_ms(1500);
+	platform_kv_set_fault(kv, "silent");
+	run_ms(SHORT_SILENCE_MS / 2);
+	publish(2);
+	run_ms(SHORT_SILENCE_MS / 2);
+	platform_kv_set_fault(kv, "sound");
+	run_ms(STABILITY_MS);
+	assert_version_in_force(2);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("store_sync", relays_that_the_store_turns_away);
+	ADD_TEST("store_sync", watch_sent_during_a_short_silence);
+	ADD_TEST("store_sync", event_during_a_short_silence);
 	return g_test_run();
 }
