fix(stop): requests that may outlast the process are refused from 2.9 s on

Problem: requests taken more than 3 s after SIGTERM were given up at the exit while servers ran them (LOST): in the 0.25 s before all are refused, and until the exit, 5.5 s, while the store does not respond, as only its response to the withdrawal begins that time. Found with real processes: 8 plans of restarts gave up 0 to 5 or more each, three of them 3.03 to 3.15 s after SIGTERM with the store in order. Logs say may-have-run at the exit for all of them; none was closed after it had reached a server, and no server was silent. Solution: from 2.9 s on, a request is taken only if its time ends before the process does, whatever the store says. Servers of the stand-in may have a queue and end runs at the deadline. The soak draws busy servers with restarts in series, and checks for requests that were lost or answered early while a server ran them, beside faults of the store too. Result: stop_test late_request_that_may_outlast_the_exit_is_refused failed before (the request reached the server with the store in order and without it) and passes.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -115,8 +115,9 @@
 
 	caller->record.status = head->status;
 	caller->will_close = !head->keep_alive;
+	caller->record.stamped = http_head_get(head, "Response-Stamp") != NULL;
 	caller->head_mismatched = !id || strcmp(id, caller->record.id) != 0 ||
-				  !http_head_get(head, "Response-Stamp");
+				  !caller->record.stamped;
 }
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
@@ -254,6 +255,10 @@
 	record->began_ms = callers_elapsed_ms(caller->owner);
 	record->fresh = caller->kind == CALLER_FRESH;
 	choose_target(caller, is_long);
+	record->limit_ms =
+		MIN((uint32_t)deadline_ms, is_long && !record->versioned_route
+						   ? FLEET_LONG_TIMEOUT_MS
+						   : FLEET_TIMEOUT_MS);
 	if (!ensure_connected(caller)) {
 		schedule_next_request(caller);
 		return;
@@ -378,6 +383,16 @@
 	callers->stopping = true;
 }
 
+bool callers_are_waiting(const struct callers *callers)
+{
+	uint32_t i;
+
+	for (i = 0; i < callers->count; i++)
+		if (callers->list[i].busy)
+			return true;
+	return false;
+}
+
 void callers_give_up(struct callers *callers)
 {
 	uint32_t i;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -22,9 +22,11 @@
 	bool sent;	      /**< sent on an established connection */
 	bool mismatched;      /**< 200, but not the response to this request */
 	bool versioned_route; /**< to the route added by a version */
-	bool fresh;	  /**< on a new connection, after a lookup of its own */
-	uint16_t status;  /**< 0: connection ended or timeout */
-	int64_t began_ms; /**< since the callers started */
+	bool fresh;	 /**< on a new connection, after a lookup of its own */
+	bool stamped;	 /**< the response is a server's */
+	uint16_t status; /**< 0: connection ended or timeout */
+	uint32_t limit_ms; /**< the shorter of its deadline and the route's */
+	int64_t began_ms;  /**< since the callers started */
 	int64_t ended_ms;
 };
 
@@ -43,6 +45,9 @@
 /** Lets requests in progress finish and starts no new ones. */
 void callers_stop(struct callers *callers);
 
+/** @return whether a request is still in progress. */
+bool callers_are_waiting(const struct callers *callers);
+
 /** Records requests that are still in progress as unanswered. */
 void callers_give_up(struct callers *callers);
 
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -14,17 +14,12 @@
 #include "net/timer.h"
 #include "socket_owner.h"
 
-/* Initial backend servers; their capacity far exceeds what the callers use. */
+/* Initial backend servers. */
 #define SERVERS_PER_DOMAIN 2
-#define SERVER_SLOTS 18
-#define SERVER_WORK_MS 40
 #define CONTROL_TIMEOUT_MS 3000
 /* The platform stand-in listens within this time. */
 #define PLATFORM_START_MS 300
 #define CALL_BYTES 512
-/* Of the routes; a long one exceeds the time that a VM takes to stop. */
-#define TIMEOUT_MS 1500
-#define LONG_TIMEOUT_MS 6000
 
 const char *const fleet_domains[FLEET_DOMAINS] = { "fyn-a", "fyn-b", "jyl-a" };
 const char *const fleet_regions[FLEET_DOMAINS] = { "fyn", "fyn", "jyl" };
@@ -283,10 +278,12 @@
 	fleet_apply_cuts(fleet); /* also to this one */
 	fleet_post_control(fleet, "/server",
 			   "{\"id\":\"%s\",\"address\":\"%s\",\"listed\":\"%s\","
-			   "\"service\":\"reg\",\"domain\":\"%s\",\"slots\":%d,"
-			   "\"work_ms\":%d}",
+			   "\"service\":\"reg\",\"domain\":\"%s\",\"slots\":%u,"
+			   "\"queue\":%u,\"work_ms\":%u}",
 			   server->id, address, server->listed_address,
-			   fleet_domains[domain], SERVER_SLOTS, SERVER_WORK_MS);
+			   fleet_domains[domain], fleet->server_shape.slots,
+			   fleet->server_shape.queue,
+			   fleet->server_shape.work_ms);
 }
 
 static void add_route(GString *routes, const char *name, const char *prefix,
@@ -311,16 +308,16 @@
 	fleet->version++;
 	fprintf(stderr, "soak: publishing version=%08x unix_ms=%" PRId64 "\n",
 		fleet->version, g_get_real_time() / 1000);
-	add_route(routes, "look", "/look/", "idempotent", TIMEOUT_MS);
-	add_route(routes, "order", "/order/", "non_idempotent", TIMEOUT_MS);
+	add_route(routes, "look", "/look/", "idempotent", FLEET_TIMEOUT_MS);
+	add_route(routes, "order", "/order/", "non_idempotent", FLEET_TIMEOUT_MS);
 	add_route(routes, "long-look", "/long-look/", "idempotent",
-		  LONG_TIMEOUT_MS);
+		  FLEET_LONG_TIMEOUT_MS);
 	add_route(routes, "long-order", "/long-order/", "non_idempotent",
-		  LONG_TIMEOUT_MS);
+		  FLEET_LONG_TIMEOUT_MS);
 	for (i = 1; i <= fleet->version; i++) {
 		g_snprintf(name, sizeof(name), "v%u", i);
 		g_snprintf(prefix, sizeof(prefix), "/v%u/", i);
-		add_route(routes, name, prefix, "idempotent", TIMEOUT_MS);
+		add_route(routes, name, prefix, "idempotent", FLEET_TIMEOUT_MS);
 	}
 	fleet_post_control(fleet, "/config",
 			   "{\"Version\":\"%08x\",\"Routes\":{%s},\"Services\":{"
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include "fault_proxy.h"
+#include "plan.h"
 
 /**
  * @file
@@ -44,6 +45,12 @@
 	struct fault_proxy *proxy;
 };
 
+/** Of the routes; a long one exceeds the time that a VM takes to stop. */
+#define FLEET_TIMEOUT_MS 1500
+#define FLEET_LONG_TIMEOUT_MS 6000
+/** Time from SIGTERM to the kill of a VM that has not exited. */
+#define FLEET_GRACE_MS 6000
+
 struct fleet {
 	struct event_base *base;
 	const char *build_dir; /**< directory of the programs */
@@ -56,6 +63,7 @@
 	uint32_t vm_count;
 	struct fleet_server servers[FLEET_SERVERS_MAX];
 	uint32_t server_count;
+	struct soak_servers server_shape;
 	uint32_t version;	   /**< of the latest configuration */
 	uint32_t unexpected_exits; /**< VM exits that the soak did not cause */
 };
--- a/soak/judge_cuts.c
+++ b/soak/judge_cuts.c
@@ -205,6 +205,9 @@
 	int64_t from_ms = INT64_MAX;
 	guint i;
 
+	/* refusals for lack of room say nothing about the cut */
+	if (j->evidence->plan->busy)
+		return;
 	for (i = 0; i < list->len; i++) {
 		const struct soak_event *event =
 			&g_array_index(list, struct soak_event, i);
--- a/soak/judge_internal.h
+++ b/soak/judge_internal.h
@@ -27,6 +27,9 @@
 /** @return whether an event cuts VMs off from all backend servers. */
 bool judge_is_cut(const struct soak_event *event);
 
+/** Checks that VMs lost no request that they had taken. */
+void judge_check_lost(struct judge_state *j);
+
 /** Checks what callers got while VMs were cut off, and afterwards. */
 void judge_check_cuts(struct judge_state *j);
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -28,6 +28,9 @@
 #define RSS_FIRST_SAMPLE_MS 5000
 /* For the responses to the last requests. */
 #define RESPONSE_GRACE_MS 3000
+/* Longer than any request may take. */
+#define RESPONSE_GRACE_MAX_MS 8000
+#define RESPONSE_CHECK_MS 100
 #define CONTROL_TIMEOUT_MS 5000
 /* A configuration is in force, and a draining server gets no new work, after
  * this time. */
@@ -39,6 +42,7 @@
 	struct soak_plan plan;
 	struct events events;
 	uint32_t caller_count;
+	int64_t give_up_ms; /* on requests in progress, on the callers' clock */
 	uint32_t rss_early_kb;
 	json_t *runs;
 	json_t *late_runs;
@@ -90,6 +94,11 @@
 
 	(void)fd;
 	(void)what;
+	if (callers_are_waiting(soak->callers) &&
+	    callers_elapsed_ms(soak->callers) < soak->give_up_ms) {
+		run_after(soak, RESPONSE_CHECK_MS, on_callers_done, soak);
+		return;
+	}
 	callers_give_up(soak->callers);
 	http_call_start(soak->base, soak->fleet.control_address, "/runs", NULL,
 			CONTROL_TIMEOUT_MS, on_runs, soak);
@@ -102,6 +111,8 @@
 	(void)fd;
 	(void)what;
 	callers_stop(soak->callers);
+	soak->give_up_ms =
+		callers_elapsed_ms(soak->callers) + RESPONSE_GRACE_MAX_MS;
 	run_after(soak, RESPONSE_GRACE_MS, on_callers_done, soak);
 }
 
@@ -245,6 +256,7 @@
 			(uint32_t)(seed->count ? seed->ival[0] : 1),
 			length->count ? length->ival[0] : 15000);
 	soak.caller_count = (uint32_t)(callers->count ? callers->ival[0] : 36);
+	soak.fleet.server_shape = soak.plan.servers;
 	soak.fleet.build_dir = build->count ? build->sval[0] : "build";
 	if (old->count)
 		soak.fleet.old_dir = old->sval[0];
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -21,6 +21,12 @@
 /* The event loop may fire a timer this much too early. */
 #define TIMER_EARLY_MS 20
 
+/* The capacity far exceeds what the callers use. */
+static const struct soak_servers ample_servers = { 18, 0, 40 };
+/* Requests wait, and run for long compared with the exit of a VM. */
+static const struct soak_servers busy_servers = { 3, 27, 900 };
+/* One plan in this many has busy servers. */
+#define BUSY_SHARE 4
 /* An outage of the store that calls of VMs may miss. */
 #define STORE_BRIEF_MAX_MS 400
 /* Configurations are published in a series around an outage of the store. */
@@ -98,6 +104,12 @@
 	return kinds[kind].planned;
 }
 
+bool soak_is_store_fault(enum soak_kind kind)
+{
+	return kind == SOAK_STORE || kind == SOAK_COMPACT ||
+	       kind == SOAK_STORE_BACK;
+}
+
 static enum soak_kind random_kind(GRand *rand)
 {
 	gint32 total = 0;
@@ -171,11 +183,41 @@
 	}
 }
 
-struct soak_plan soak_plan_generate(uint32_t seed, int64_t length_ms)
+/* Gives the servers less capacity than the callers use, and runs that last, and
+ * restarts the VMs one after the other all the time. */
+static void make_busy(struct soak_plan *plan, GRand *rand)
+{
+	int64_t at_ms = LEAD_MS;
+	uint32_t vm = g_rand_int(rand) % 1000;
+
+	plan->servers = busy_servers;
+	plan->busy = true;
+	while (at_ms < plan->length_ms - TAIL_MS) {
+		struct soak_event stop = { .kind = SOAK_TERM, .how = "-" };
+
+		stop.at_ms = at_ms;
+		stop.target = vm++;
+		stop.for_ms = g_rand_int_range(rand, 100, 800);
+		g_array_append_val(plan->events, stop);
+		at_ms += g_rand_int_range(rand, STOP_SERIES_INTERVAL_MS,
+					  2 * STOP_SERIES_INTERVAL_MS);
+	}
+}
+
+static struct soak_plan new_plan(int64_t length_ms)
 {
 	struct soak_plan plan = {
-		g_array_new(false, true, sizeof(struct soak_event)), length_ms
+		.events = g_array_new(false, true, sizeof(struct soak_event)),
+		.length_ms = length_ms,
+		.servers = ample_servers,
 	};
+
+	return plan;
+}
+
+struct soak_plan soak_plan_generate(uint32_t seed, int64_t length_ms)
+{
+	struct soak_plan plan = new_plan(length_ms);
 	GRand *rand = g_rand_new_with_seed(seed);
 	gint32 count = g_rand_int_range(rand, 3, 12);
 	gint32 i;
@@ -204,6 +246,8 @@
 		if (event.kind == SOAK_STORE)
 			append_changes(&plan, rand, &event);
 	}
+	if (!g_rand_int_range(rand, 0, BUSY_SHARE))
+		make_busy(&plan, rand);
 	g_rand_free(rand);
 	g_array_sort(plan.events, compare_at_ms);
 	return plan;
@@ -260,6 +304,17 @@
 	return false;
 }
 
+static bool parse_servers(const char *line, struct soak_plan *plan)
+{
+	struct soak_servers *servers = &plan->servers;
+
+	if (sscanf(line, "servers %" SCNu32 " %" SCNu32 " %" SCNu32,
+		   &servers->slots, &servers->queue, &servers->work_ms) != 3)
+		return false;
+	plan->busy = true;
+	return true;
+}
+
 bool soak_plan_read(const char *file_name, struct soak_plan *plan)
 {
 	FILE *file = fopen(file_name, "r");
@@ -267,8 +322,7 @@
 	bool valid = file != NULL;
 	int line_number = 0;
 
-	plan->events = g_array_new(false, true, sizeof(struct soak_event));
-	plan->length_ms = 0;
+	*plan = new_plan(0);
 	if (!file)
 		fprintf(stderr, "soak: cannot read plan %s\n", file_name);
 	while (valid && fgets(line, sizeof(line), file)) {
@@ -278,6 +332,8 @@
 		line[strcspn(line, "#\n")] = '\0';
 		if (!*g_strstrip(line))
 			continue;
+		if (parse_servers(line, plan))
+			continue;
 		valid = parse_event(line, &event);
 		if (!valid)
 			fprintf(stderr, "soak: %s:%d: not a valid event\n",
@@ -296,6 +352,10 @@
 {
 	guint i;
 
+	if (plan->busy)
+		fprintf(out, "servers %" PRIu32 " %" PRIu32 " %" PRIu32 "\n",
+			plan->servers.slots, plan->servers.queue,
+			plan->servers.work_ms);
 	for (i = 0; i < plan->events->len; i++) {
 		const struct soak_event *event =
 			&g_array_index(plan->events, struct soak_event, i);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -13,6 +13,8 @@
  *
  *     AT_MS KIND TARGET HOW FOR_MS
  *
+ * and, optionally, a line "servers SLOTS QUEUE WORK_MS".
+ *
  * TARGET is an index from 0, taken modulo the number of VMs, servers or failure
  * domains; for SOAK_CUT_HALF, VMs are cut off if their index is odd as TARGET
  * is, or even. "#" starts a comment.
@@ -57,9 +59,18 @@
 	bool is_active; /**< started and not yet ended */
 };
 
+/** Capacity of each backend server. */
+struct soak_servers {
+	uint32_t slots;
+	uint32_t queue; /**< requests that wait for a slot; more are refused */
+	uint32_t work_ms;
+};
+
 struct soak_plan {
 	GArray *events; /**< of struct soak_event, sorted by at_ms */
 	int64_t length_ms;
+	struct soak_servers servers;
+	bool busy; /**< the servers cannot run all requests */
 };
 
 /** Generates a random plan; the same seed gives the same plan. */
@@ -81,6 +92,9 @@
 /** @return whether an event of this kind is no fault. */
 bool soak_is_planned(enum soak_kind kind);
 
+/** @return whether an event of this kind is a fault of the store alone. */
+bool soak_is_store_fault(enum soak_kind kind);
+
 /** @return whether an event cuts a VM off from all backend servers. */
 bool soak_event_cuts_vm(const struct soak_event *event, uint32_t vm,
 			uint32_t vm_count);
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -96,13 +96,19 @@
 		set_refusal(e, 413, "body-too-large");
 }
 
-/* Late in a graceful shutdown, other VMs have more time for a new request. */
+/* Late in a graceful shutdown, other VMs have more time for a new request. One
+ * that may outlast this process could be given up while a server runs it. */
 static void refuse_late_arrival(struct exchange *e)
 {
 	const struct proxy *proxy = e->proxy;
+	const int64_t now_ms = proxy_now_ms(proxy);
+	const bool may_outlast_exit = e->deadline_ms + LATE_RESPONSE_GRACE_MS >
+				      proxy->exit_deadline_ms;
 
-	if (!e->refusal_status && proxy->stopping &&
-	    proxy_now_ms(proxy) >= proxy->refuse_from_ms)
+	if (e->refusal_status || !proxy->stopping)
+		return;
+	if (now_ms >= proxy->refuse_from_ms ||
+	    (now_ms >= proxy->late_from_ms && may_outlast_exit))
 		set_refusal(e, 503, "stopping");
 }
 
@@ -151,8 +157,8 @@
 	counter_add(COUNTER_REQUESTS, 1);
 	headers_copy_request(head, e->head);
 	match_route(e, head);
-	refuse_late_arrival(e);
 	set_deadline(e, meta.deadline_ms);
+	refuse_late_arrival(e);
 	e->request.id = e->id;
 	e->request.method = e->method;
 	e->request.head = e->head;
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -71,6 +71,8 @@
 	uint64_t buffered_body_bytes; /**< of requests in progress */
 	bool stopping;
 	int64_t refuse_from_ms; /**< while stopping: refuse requests from then */
+	/** while stopping: refuse requests from then that may outlast the exit */
+	int64_t late_from_ms;
 	int64_t exit_deadline_ms; /**< while stopping: time of exit */
 	bool exiting;		  /**< the event loop is about to end */
 };
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -16,6 +16,10 @@
 /* Requests are refused from this time on; those that came with their
  * connection, before the listener closed, have been read by then. */
 #define REFUSE_AFTER_MS (DIRECTORY_CACHE_MS + CHECK_INTERVAL_MS)
+/* Requests that arrive later are refused if their time may outlast the process,
+ * whether or not the store knows of the withdrawal. Earlier ones may be given
+ * up at the exit; in half of the grace most have their response. */
+#define LATE_AFTER_MS 2900
 /* Idle connections are closed after this time, when callers have queried the
  * directory again. */
 #define CLOSE_IDLE_AFTER_MS 2000
@@ -124,6 +128,7 @@
 		stop->started_ms - EXIT_RESERVE_MS +
 		(int64_t)stop->proxy->bounds.stop_grace_ms;
 	stop->proxy->refuse_from_ms = stop->proxy->exit_deadline_ms;
+	stop->proxy->late_from_ms = stop->started_ms + LATE_AFTER_MS;
 	presence_withdraw(stop->proxy->presence);
 	on_timer(-1, 0, stop);
 }
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -20,7 +20,7 @@
  *     /config    the operator's configuration
  *     /evacuate  {"domain": "a", "on": true}
  *     /server    {"id", "address", "listed", "service", "domain", "slots",
- *                "work_ms"}
+ *                "work_ms"}; "queue": requests that wait for a slot (0)
  *     /drain     {"id"}        publishes that the server is draining
  *     /unlist    {"id"}        deletes its store entry, it keeps serving
  *     /kill      {"id"}        stops the server, its store entry stays
@@ -69,6 +69,8 @@
 		.failure_domain = get_string(body, "domain"),
 		.slots = (uint32_t)json_integer_value(
 			json_object_get(body, "slots")),
+		.queue_max = (uint32_t)json_integer_value(
+			json_object_get(body, "queue")),
 		.work_ms = (uint32_t)json_integer_value(
 			json_object_get(body, "work_ms")),
 	};
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -24,6 +24,7 @@
 	const char *service;
 	const char *failure_domain;
 	uint32_t slots;
+	uint32_t queue_max; /**< requests that wait for a slot; more are refused */
 	uint32_t work_ms;
 };
 
--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -2,6 +2,9 @@
 
 /* Graceful shutdown of a VM. */
 
+/* After the SIGTERM: nothing excuses that a later request is lost. */
+#define LATE_MS 3000
+
 static const struct http_stream_events stream_events = { 0 };
 
 /* A response whose caller has not read it yet; its request is no longer in
@@ -152,6 +155,53 @@
 	teardown_requests();
 }
 
+/* A request was taken until 3.2 s after the SIGTERM, or until the exit while
+ * the store did not respond, and given up at the exit while a server ran it. */
+static void late_request_that_may_outlast_the_exit_is_refused(void)
+{
+	static const char *const faults[] = { "sound", "reset" };
+	struct stop *stop;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		setup_requests(false);
+		run_ms(100);
+		platform_kv_set_fault(kv, faults[i]);
+		stop = stop_new(&proxy);
+		raise(SIGTERM);
+		g_assert_false(run_ms(LATE_MS));
+		fd = send_request();
+		g_assert_false(run_ms(100));
+		g_assert_cmpuint(queue.arrived, ==, 0);
+		g_assert_cmpint(take_status(fd), ==, 503);
+		stop_free(stop);
+		teardown_requests();
+	}
+}
+
+/* Callers still come while the store does not respond. */
+static void late_request_that_ends_before_the_exit_is_taken(void)
+{
+	struct stop *stop;
+	int fd;
+
+	setup_requests(false);
+	proxy.config->routes[0].timeout_ms = 500;
+	run_ms(100);
+	platform_kv_set_fault(kv, "reset");
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_false(run_ms(LATE_MS + 500));
+	fd = send_request();
+	g_assert_false(run_ms(100));
+	g_assert_cmpuint(queue.arrived, ==, 1);
+	g_assert_false(run_ms(600));
+	g_assert_cmpint(take_status(fd), ==, 504);
+	stop_free(stop);
+	teardown_requests();
+}
+
 /* The responses that a late check sends must leave before the process ends. */
 static void late_check_still_sends_responses(void)
 {
@@ -223,6 +273,8 @@
 	ADD_TEST("stop", request_without_response_is_answered_at_exit);
 	ADD_TEST("stop", last_responses_leave_after_a_suspension);
 	ADD_TEST("stop", request_long_after_sigterm_is_refused);
+	ADD_TEST("stop", late_request_that_may_outlast_the_exit_is_refused);
+	ADD_TEST("stop", late_request_that_ends_before_the_exit_is_taken);
 	ADD_TEST("stop", late_check_still_sends_responses);
 	ADD_TEST("stop", refused_request_is_not_sent_again_at_exit);
 	return g_test_run();
