fix(attempt): a connection is reused only behind a response with its ID

A full server's refusal bears no Request-Id and is accepted without one, so that its second copy, behind the next request of the connection, counted as that request's refusal. With an ID the copy is recognized; a copy that comes while the connection is idle closes it. Solution: a connection whose last response had no ID is closed. No earlier refusal without an ID can then be repeated on a connection. Result: attempt_test repeated_refusal_does_not_answer_the_next_order failed before (503 instead of 200) and passes; refusal_with_an_id_keeps_the_connection and response_cut_in_its_head_is_no_success pass on both.

--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -37,6 +37,7 @@
 	int64_t expected_body_bytes;
 	uint16_t status;
 	bool keep_alive;
+	bool has_id; /* the response bears the request's ID */
 	bool reused;
 	bool sent;
 	bool response_started; /* its head was read */
@@ -130,7 +131,8 @@
 }
 
 /* A server may omit the request id from a response that reports the request as
- * not run. */
+ * not run. A second copy of it could be taken for the next request's response,
+ * so that the connection is not used again, see on_complete(). */
 static bool is_response_to_request(const struct attempt *a,
 				   const struct response_meta *meta)
 {
@@ -193,6 +195,7 @@
 	a->server->responded_ms = proxy_now_ms(a->proxy);
 	a->status = head->status;
 	a->keep_alive = head->keep_alive;
+	a->has_id = a->meta.id != NULL;
 	a->expected_body_bytes = head->content_length;
 	headers_copy_response(head, a->headers);
 	update_server_state(a);
@@ -236,7 +239,7 @@
 	facts.encoded = a->meta.encoded;
 	/* unsent request bytes, or bytes after the response, would be read as
 	 * part of the next message on the connection */
-	if (a->keep_alive && !a->skipped_stale &&
+	if (a->keep_alive && a->has_id && !a->skipped_stale &&
 	    !http_stream_pending_bytes(stream) &&
 	    !evbuffer_get_length(http_stream_output(stream)))
 		pool_release(a->connection, a->meta.idle_timeout_ms);
--- /dev/null
+++ b/test/unit/proxy/attempt_test.c
@@ -0,0 +1,167 @@
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "net/listener.h"
+#include "unit/proxy/stopping_vm.h"
+
+/* Requests sent to a faulty server. */
+
+#define REFUSAL \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define REFUSAL_WITH_ID                                              \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define SUCCESS                                                        \
+	"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: a.b\r\n" \
+	"Content-Length: 2\r\n\r\nok"
+
+/* A server that writes a text for each request: `first` for the first one of
+ * its first connection, `next` for others there, and a success elsewhere. */
+static struct {
+	const char *first;
+	const char *next;
+	struct evconnlistener *listener;
+	struct bufferevent *connections[8];
+	uint32_t connection_count;
+	uint32_t requests;
+	bool closes; /* after a response */
+} faulty;
+
+static void on_request(struct bufferevent *bev, void *context)
+{
+	struct evbuffer *input = bufferevent_get_input(bev);
+	const bool is_first_connection = bev == faulty.connections[0];
+	const char *text = !is_first_connection ? SUCCESS
+			   : faulty.requests	? faulty.next
+						: faulty.first;
+
+	(void)context;
+	evbuffer_drain(input, evbuffer_get_length(input));
+	faulty.requests++;
+	bufferevent_write(bev, text, strlen(text));
+}
+
+static void on_written(struct bufferevent *bev, void *context)
+{
+	(void)context;
+	if (faulty.closes && faulty.requests)
+		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	struct bufferevent *bev =
+		bufferevent_socket_new(proxy.base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)listener;
+	(void)address;
+	(void)length;
+	(void)context;
+	g_assert_cmpuint(faulty.connection_count, <,
+			 G_N_ELEMENTS(faulty.connections));
+	faulty.connections[faulty.connection_count++] = bev;
+	bufferevent_setcb(bev, on_request, on_written, NULL, NULL);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+/* A VM with the faulty server as its only one. */
+static void setup_faulty(const char *first, const char *next, bool idempotent)
+{
+	struct server_entry entry = {
+		.id = (char *)"s2",
+		.service = (char *)"reg",
+		.failure_domain = (char *)"fyn-a",
+		.version = (char *)"v1",
+		.slots = 4,
+	};
+	char text[32];
+	int tries;
+
+	memset(&faulty, 0, sizeof(faulty));
+	faulty.first = first;
+	faulty.next = next;
+	setup_requests(false);
+	proxy.config->routes[0].idempotent = idempotent;
+	for (tries = 0; tries < 20 && !faulty.listener; tries++) {
+		g_snprintf(text, sizeof(text), "127.0.0.1:%d",
+			   g_random_int_range(20000, 32000));
+		faulty.listener =
+			listener_open(proxy.base, text, on_accept, NULL);
+	}
+	g_assert_nonnull(faulty.listener);
+	g_assert_true(tcp_parse_address(text, &entry.address));
+	servers_remove(proxy.servers, "s1");
+	servers_put(proxy.servers, &entry);
+	run_ms(50);
+}
+
+static void teardown_faulty(void)
+{
+	uint32_t i;
+
+	evconnlistener_free(faulty.listener);
+	for (i = 0; i < faulty.connection_count; i++)
+		bufferevent_free(faulty.connections[i]);
+	teardown_requests();
+}
+
+static int send_and_take_status(void)
+{
+	int fd = send_request();
+
+	run_ms(100);
+	return take_status(fd);
+}
+
+/* A full server's refusal bears no request ID. Its second copy, behind the next
+ * request of the connection, was taken for the response to that request: the
+ * caller was told that an order had not run, while the server ran it. */
+static void repeated_refusal_does_not_answer_the_next_order(void)
+{
+	setup_faulty(REFUSAL, REFUSAL SUCCESS, false);
+	g_assert_cmpint(send_and_take_status(), ==, 503);
+	run_ms(1500); /* the server is full for a while */
+	g_assert_cmpint(send_and_take_status(), ==, 200);
+	teardown_faulty();
+}
+
+/* With the request's ID, a copy cannot be taken for another response, and the
+ * connection goes on. */
+static void refusal_with_an_id_keeps_the_connection(void)
+{
+	setup_faulty(REFUSAL_WITH_ID, SUCCESS, false);
+	g_assert_cmpint(send_and_take_status(), ==, 503);
+	run_ms(1500);
+	g_assert_cmpint(send_and_take_status(), ==, 200);
+	g_assert_cmpuint(faulty.connection_count, ==, 1);
+	teardown_faulty();
+}
+
+/* The server stops in the middle of its response's head and closes: whatever
+ * there is of it, the caller must not get a success. */
+static void response_cut_in_its_head_is_no_success(void)
+{
+	const size_t head_bytes = strlen(SUCCESS) - strlen("ok");
+	char *cut;
+	size_t bytes;
+
+	for (bytes = 1; bytes < head_bytes; bytes += 3) {
+		cut = g_strndup(SUCCESS, bytes);
+		setup_faulty(cut, cut, false);
+		faulty.closes = true;
+		g_assert_cmpint(send_and_take_status(), ==, 502);
+		teardown_faulty();
+		g_free(cut);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions(); /* each test is counted by itself */
+	ADD_TEST("attempt", repeated_refusal_does_not_answer_the_next_order);
+	ADD_TEST("attempt", refusal_with_an_id_keeps_the_connection);
+	ADD_TEST("attempt", response_cut_in_its_head_is_no_success);
+	return g_test_run();
+}
