fix(exchange): a server's refusal of an order is passed on only with proof

Problem: a 408, 429 or 503 of the server's own, without Not-Executed, was passed on for an order. These statuses tell the caller that the order has not run, which only Not-Executed states; it may come again and run twice. Solution: such a response becomes a 502 of the VM's own, why refusal-without-proof. Requests that may be repeated get it unchanged. Result: attempt_test refusal_without_proof_is_not_passed_on failed before (408, 429 and 503 reached the caller) and passes.

--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -3,7 +3,9 @@
 #include "base/attributes.h"
 
 enum {
+	STATUS_REQUEST_TIMEOUT = 408,
 	STATUS_OTHER_SERVER = 421,
+	STATUS_TOO_MANY_REQUESTS = 429,
 	STATUS_FAILURE_FIRST = 500,
 	STATUS_BAD_GATEWAY = 502,
 	STATUS_UNAVAILABLE = 503,
@@ -22,6 +24,14 @@
 						     : ATTEMPT_ANSWERED;
 }
 
+bool outcome_status_means_not_run(uint16_t status)
+{
+	return status == STATUS_REQUEST_TIMEOUT ||
+	       status == STATUS_OTHER_SERVER ||
+	       status == STATUS_TOO_MANY_REQUESTS ||
+	       status == STATUS_UNAVAILABLE;
+}
+
 enum verdict outcome_verdict(enum attempt_end end)
 {
 	switch (end) {
--- a/src/decide/outcome.h
+++ b/src/decide/outcome.h
@@ -36,6 +36,10 @@
 /** @return how an attempt with a complete response ended. */
 enum attempt_end outcome_of_response(const struct response_facts *facts);
 
+/** @return whether a status tells a caller that its request has not run, and
+ * never will. */
+bool outcome_status_means_not_run(uint16_t status);
+
 /** @return what the attempt's end proves about execution of the request. */
 enum verdict outcome_verdict(enum attempt_end end);
 
--- a/src/proxy/exchange.c
+++ b/src/proxy/exchange.c
@@ -328,10 +328,25 @@
 	exchange_free(e);
 }
 
+/* Whether to forward the response would tell the caller of an order that it has
+ * not run, though the server did not say so. */
+static bool is_unproved_refusal(const struct exchange *e, const struct attempt *a)
+{
+	return !e->route->idempotent &&
+	       outcome_status_means_not_run(attempt_status(a));
+}
+
 static void on_buffer_full(void *context, struct attempt *a)
 {
-	(void)a;
-	exchange_start_streaming(context);
+	struct exchange *e = context;
+
+	if (is_unproved_refusal(e, a)) {
+		e->worst_verdict = VERDICT_RAN;
+		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
+			      "refusal-without-proof");
+		return;
+	}
+	exchange_start_streaming(e);
 }
 
 static void on_body_ready(void *context, struct attempt *a)
@@ -423,6 +438,12 @@
 		exchange_finish_streaming(e, end);
 		return;
 	}
+	if ((end == ATTEMPT_ANSWERED || end == ATTEMPT_FAILED) &&
+	    is_unproved_refusal(e, a)) {
+		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
+			      "refusal-without-proof");
+		return;
+	}
 	if (end == ATTEMPT_ANSWERED) {
 		exchange_send_response(e);
 		return;
--- a/test/unit/proxy/attempt_test.c
+++ b/test/unit/proxy/attempt_test.c
@@ -156,6 +156,29 @@
 	}
 }
 
+/* Only Not-Executed proves that an order has not run; the statuses of its
+ * response tell the caller so without it. */
+static void refusal_without_proof_is_not_passed_on(void)
+{
+	static const int statuses[] = { 408, 429, 503 };
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		text = g_strdup_printf("HTTP/1.1 %d No\r\nRequest-Id: r1\r\n"
+				       "Response-Stamp: a.b\r\n"
+				       "Content-Length: 0\r\n\r\n",
+				       statuses[i]);
+		setup_faulty(text, text, false);
+		g_assert_cmpint(send_and_take_status(), ==, 502);
+		teardown_faulty();
+		setup_faulty(text, text, true);
+		g_assert_cmpint(send_and_take_status(), ==, statuses[i]);
+		teardown_faulty();
+		g_free(text);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -163,5 +186,6 @@
 	ADD_TEST("attempt", repeated_refusal_does_not_answer_the_next_order);
 	ADD_TEST("attempt", refusal_with_an_id_keeps_the_connection);
 	ADD_TEST("attempt", response_cut_in_its_head_is_no_success);
+	ADD_TEST("attempt", refusal_without_proof_is_not_passed_on);
 	return g_test_run();
 }
