--- a/soak/events.c
+++ b/soak/events.c
@@ -246,6 +246,10 @@
 	case SOAK_LIMIT_ALL:
 		apply_limits(events);
 		break;
+	case SOAK_ODD_ENTRY:
+		fleet_post_control(fleet, "/odd-entry", "{\"how\":\"%s\"}",
+				   event->how);
+		break;
 	case SOAK_CONFIG:
 	default:
 		fleet_publish(fleet);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -60,7 +60,7 @@
 			      4 },
 	[SOAK_SERVER_LINK] = { "server-link",
 			       false,
-			       { "delay", "silent", "oneway", "reset" },
+			       { "delay", "silent", "oneway", "reset", "repeat" },
 			       300,
 			       4000,
 			       4 },
@@ -91,6 +91,12 @@
 			 12000,
 			 4 },
 	[SOAK_LIMIT_ALL] = { "limit-all", true, { "0.7", "2.2", "7" }, 6000, 9000, 2 },
+	[SOAK_ODD_ENTRY] = { "odd-entry",
+			     true,
+			     { "nested", "number", "port", "key" },
+			     0,
+			     0,
+			     2 },
 	[SOAK_UPGRADE] = { "upgrade", true, { "new", "old" }, 100, 600, 0 },
 };
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -45,6 +45,8 @@
 	SOAK_LIMIT, /**< a backend server limits its requests; HOW: requests per
 		       second of all VMs, or any other text */
 	SOAK_LIMIT_ALL, /**< all backend servers do */
+	SOAK_ODD_ENTRY, /**< another writer's entry among those of the servers;
+			   HOW: nested, number, port or key */
 	SOAK_UPGRADE,	/**< SIGTERM of an entry VM; restart after FOR_MS, with
 			   the   build that HOW names: new or old */
 	SOAK_KIND_COUNT
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <log4c.h>
 #include <pthread.h>
@@ -147,6 +148,14 @@
 	log4c_fini();
 }
 
+/* What comes from outside must not begin a line of its own. */
+static void replace_control_characters(char *text)
+{
+	for (; *text; text++)
+		if (g_ascii_iscntrl(*text))
+			*text = '?';
+}
+
 void log_line(enum log_level level, const char *part, const char *format, ...)
 {
 	struct line *line;
@@ -170,6 +179,7 @@
 	vsnprintf(line->text + used, sizeof(line->text) - (size_t)used, format,
 		  args);
 	va_end(args);
+	replace_control_characters(line->text);
 	if (!ring_push(line_queue, line)) {
 		dropped_lines++;
 		free(line);
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -1,6 +1,7 @@
 #include "net/tcp.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -28,6 +29,9 @@
 		return false;
 	memcpy(host, text, (size_t)(colon - text));
 	host[colon - text] = '\0';
+	/* no sign and no space, which strtol() accepts */
+	if (!isdigit((unsigned char)colon[1]))
+		return false;
 	errno = 0;
 	port = strtol(colon + 1, &end, 10);
 	if (errno || *end || end == colon + 1 || port < 1 || port > UINT16_MAX)
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -25,6 +25,8 @@
  *     /unlist    {"id"}        deletes its store entry, it keeps serving
  *     /kill      {"id"}        stops the server, its store entry stays
  *     /fault     {"id", "fault"}; without an ID: of the store
+ *     /odd-entry {"how": "nested"}, number, port or key: an entry that names no
+ * server, which another writer has left
  *     /limit     {"id", "limit": "2.2"}  names a limit, or any text; "": none
  *     /compact   {}            the store discards its history
  *     /copy      {}            the store takes a copy of its keys
@@ -39,6 +41,7 @@
 
 /* Time after which the operator and the backend servers have written again what
  * the store lost. */
+#define ODD_ENTRY_DEPTH 200000
 #define REWRITE_MS 1000
 
 struct platform {
@@ -169,11 +172,33 @@
 	return true;
 }
 
+/* Writes an entry among those of the servers that names none. */
+static void put_odd_entry(struct platform *platform, const char *how)
+{
+	char *nested = g_strnfill(ODD_ENTRY_DEPTH, '[');
+
+	if (!strcmp(how, "nested"))
+		platform_kv_put(platform->kv, "servers/odd", nested);
+	else if (!strcmp(how, "number"))
+		platform_kv_put(platform->kv, "servers/odd",
+				"{\"Address\":1e999,\"born\":99999999999999999999}");
+	else if (!strcmp(how, "port"))
+		platform_kv_put(platform->kv, "servers/odd",
+				"{\"Address\":\"127.0.0.1:99999\"}");
+	else
+		platform_kv_put(platform->kv, "servers/odd\r\nX: 1", "\xff\xfe");
+	g_free(nested);
+}
+
 static bool handle_control(struct platform *platform, const char *path,
 			   json_t *body)
 {
 	if (!strcmp(path, "/config"))
 		return set_config(platform, body);
+	if (!strcmp(path, "/odd-entry")) {
+		put_odd_entry(platform, get_string(body, "how"));
+		return true;
+	}
 	if (!strcmp(path, "/evacuate"))
 		return set_evacuation(platform, body);
 	if (!strcmp(path, "/server"))
--- a/test/unit/platform/codecs_test.c
+++ b/test/unit/platform/codecs_test.c
@@ -161,6 +161,93 @@
 	}
 }
 
+/* An entry whose value nests arrays, or objects, `depth` deep. */
+static char *nested_entry(const char *open, const char *close, size_t depth)
+{
+	GString *text = g_string_new("{\"Address\":");
+	size_t i;
+
+	for (i = 0; i < depth; i++)
+		g_string_append(text, open);
+	g_string_append(text, "1");
+	for (i = 0; i < depth; i++)
+		g_string_append(text, close);
+	g_string_append(text, "}");
+	return g_string_free(text, false);
+}
+
+/* Another writer left one odd entry; VMs that read the list ended again and
+ * again. */
+static void odd_server_entries_are_rejected(void)
+{
+	static const char *const numbers[] = { "1e400", "-1e400",
+					       "99999999999999999999999",
+					       "9223372036854775807", "1e18" };
+	static const char *const ports[] = { "0",    "65536", "99999999999",
+					     "-1",   "+80",   " 80",
+					     "0x50", "",      "80 " };
+	struct server_entry entry;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(numbers); i++) {
+		text = g_strdup_printf(SERVER(INFO,
+					      "\"State\":\"ready\",\"Seq\":%s,"
+					      "\"ColdLeftMs\":0",
+					      ""),
+				       numbers[i]);
+		g_assert_nonnull(decode_server(text, &entry));
+		server_entry_clear(&entry);
+		g_free(text);
+		text = g_strdup_printf(SERVER(INFO, STATUS, ",\"born\":%s"),
+				       numbers[i]);
+		g_assert_nonnull(decode_server(text, &entry));
+		server_entry_clear(&entry);
+		g_free(text);
+	}
+	for (i = 0; i < ARRAY_SIZE(ports); i++) {
+		text = g_strdup_printf("{\"Address\":\"10.0.0.9:%s\","
+				       "\"Info\":{" INFO "},\"Status\":{" STATUS
+				       "}}",
+				       ports[i]);
+		g_assert_nonnull(decode_server(text, &entry));
+		server_entry_clear(&entry);
+		g_free(text);
+	}
+	for (i = 1; i <= 1000000; i *= 10) {
+		text = nested_entry("[", "]", i);
+		g_assert_nonnull(decode_server(text, &entry));
+		server_entry_clear(&entry);
+		g_free(text);
+		text = nested_entry("{\"a\":", "}", i);
+		g_assert_nonnull(decode_server(text, &entry));
+		server_entry_clear(&entry);
+		g_free(text);
+	}
+}
+
+/* A server's ID is written into a header of each request to it, and into log
+ * lines. */
+static void server_ids_with_odd_bytes_are_rejected(void)
+{
+	static const char *const ids[] = {
+		"", "a b", "a\r\nContent-Length: 9", "a\tb", "a\x7f", "\xc3\xa9"
+	};
+	struct server_entry entry;
+	char *key;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(ids); i++) {
+		key = g_strconcat("servers/", ids[i], NULL);
+		g_assert_nonnull(
+			server_entry_decode(key, SERVER(INFO, STATUS, ""),
+					    strlen(SERVER(INFO, STATUS, "")),
+					    &entry));
+		server_entry_clear(&entry);
+		g_free(key);
+	}
+}
+
 static struct http_head head_of(struct http_header *headers, uint32_t count,
 				uint16_t status)
 {
@@ -403,6 +490,8 @@
 	ADD_TEST("codecs", malformed_configurations_are_rejected);
 	ADD_TEST("codecs", server_entry_is_decoded);
 	ADD_TEST("codecs", malformed_server_entries_are_rejected);
+	ADD_TEST("codecs", odd_server_entries_are_rejected);
+	ADD_TEST("codecs", server_ids_with_odd_bytes_are_rejected);
 	ADD_TEST("codecs", request_headers_are_decoded);
 	ADD_TEST("codecs", response_headers_are_decoded);
 	ADD_TEST("codecs", retry_after_is_decoded_and_bounded);
--- a/test/unit/proxy/store_sync_test.c
+++ b/test/unit/proxy/store_sync_test.c
@@ -9,6 +9,7 @@
 #include "kv/notices.h"
 #include "net/tcp.h"
 #include "platform/config_codec.h"
+#include "platform/server_codec.h"
 #include "platform_kv.h"
 #include "proxy/crash.h"
 #include "proxy/server_limits.h"
@@ -304,11 +305,55 @@
 	teardown();
 }
 
+#define SOUND_SERVER                                                      \
+	"{\"Address\":\"127.0.0.1:9\",\"Info\":{\"Service\":\"reg\","     \
+	"\"Version\":\"v1\",\"Zone\":\"fyn-a\",\"Slots\":3},\"Status\":{" \
+	"\"State\":\"ready\",\"Seq\":1,\"ColdLeftMs\":0}}"
+
+/* Another writer's entries among those of the servers: whatever they hold, VMs
+ * and those that read from them go on following the list. */
+static void odd_entries_do_not_stop_the_reading(void)
+{
+	char *nested = g_strnfill(200000, '[');
+	const char *const odd[] = {
+		nested,
+		"{\"Address\":\"127.0.0.1:99999\"}",
+		"{\"Address\":\"127.0.0.1:9\",\"born\":99999999999999999999}",
+		"{\"Address\":1e999}",
+		"\xff\xfe",
+		"",
+	};
+	char key[32];
+	uint32_t i;
+
+	setup();
+	run_ms(1000);
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_snprintf(key, sizeof(key), PLATFORM_PREFIX_SERVERS "odd-%u", i);
+		platform_kv_put(kv, key, odd[i]);
+	}
+	platform_kv_put(kv, PLATFORM_PREFIX_SERVERS "a\r\nb", SOUND_SERVER);
+	run_ms(1500);
+	platform_kv_put(kv, PLATFORM_PREFIX_SERVERS "sound", SOUND_SERVER);
+	publish(2);
+	run_ms(CONFIG_BOUND_MS);
+	assert_version_in_force(2);
+	for (i = 0; i < VMS; i++)
+		g_assert_cmpuint(servers_count(vms[i].proxy.servers), ==, 1);
+	platform_kv_remove(kv, PLATFORM_PREFIX_SERVERS "sound");
+	run_ms(CONFIG_BOUND_MS);
+	for (i = 0; i < VMS; i++)
+		g_assert_cmpuint(servers_count(vms[i].proxy.servers), ==, 0);
+	teardown();
+	g_free(nested);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("store_sync", relays_that_the_store_turns_away);
 	ADD_TEST("store_sync", watch_sent_during_a_short_silence);
 	ADD_TEST("store_sync", event_during_a_short_silence);
+	ADD_TEST("store_sync", odd_entries_do_not_stop_the_reading);
 	return g_test_run();
 }
