test(soak): links that write a response once more, refusals without an ID

Problem: the soak could not draw the late second copy of a response, and the stand-in's refusals bore an ID, which those of the platform do not. Solution: fault proxies have a mode "repeat"; refusals have no ID.

--- a/soak/fault_proxy.c
+++ b/soak/fault_proxy.c
@@ -18,11 +18,13 @@
 	MODE_ONEWAY,
 	MODE_RESET,
 	MODE_REFUSE,
+	MODE_REPEAT,
 	MODE_COUNT
 };
 
 static const char *const mode_names[MODE_COUNT] = { "pass",   "delay", "silent",
-						    "oneway", "reset", "refuse" };
+						    "oneway", "reset", "refuse",
+						    "repeat" };
 
 struct fault_proxy {
 	struct event_base *base;
@@ -39,7 +41,8 @@
 	struct bufferevent *client; /* accepted connection */
 	struct bufferevent *upstream;
 	struct event *delay_timer;
-	enum proxy_mode mode; /* by the rule */
+	struct evbuffer *response; /* the last one, if it is to be repeated */
+	enum proxy_mode mode;	   /* by the rule */
 };
 
 static enum proxy_mode find_mode(const char *name)
@@ -79,6 +82,7 @@
 	bufferevent_free(pair->client);
 	bufferevent_free(pair->upstream);
 	event_free(pair->delay_timer);
+	evbuffer_free(pair->response);
 	g_free(pair);
 }
 
@@ -87,12 +91,25 @@
 	bufferevent_write_buffer(to, bufferevent_get_input(from));
 }
 
+/* Writes the last response once more when the next request comes. */
+static void repeat_response(struct pair *pair)
+{
+	struct evbuffer *from_server = bufferevent_get_input(pair->upstream);
+
+	if (evbuffer_get_length(bufferevent_get_input(pair->client)))
+		bufferevent_write_buffer(pair->client, pair->response);
+	evbuffer_add(pair->response, evbuffer_pullup(from_server, -1),
+		     evbuffer_get_length(from_server));
+}
+
 static void forward(struct pair *pair)
 {
 	const enum proxy_mode mode = pair_mode(pair);
 
 	if (mode == MODE_SILENT)
 		return;
+	if (mode == MODE_REPEAT)
+		repeat_response(pair);
 	transfer(pair->upstream, pair->client);
 	if (mode != MODE_ONEWAY)
 		transfer(pair->client, pair->upstream);
@@ -154,6 +171,7 @@
 	tcp_set_options(fd, 0);
 	pair = g_new0(struct pair, 1);
 	pair->proxy = proxy;
+	pair->response = evbuffer_new();
 	pair->delay_timer = evtimer_new(proxy->base, on_delay, pair);
 	pair->client =
 		bufferevent_socket_new(proxy->base, fd, BEV_OPT_CLOSE_ON_FREE);
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -38,8 +38,9 @@
  *
  * @param how "pass"; "delay": forwards data up to 300 ms later; "silent":
  * forwards nothing; "oneway": forwards nothing to the target; "reset": resets
- * connections, also new ones; "refuse": resets new ones only. Data held back by
- * "silent" or "oneway" is forwarded once the mode changes.
+ * connections, also new ones; "refuse": resets new ones only; "repeat": writes
+ * the last response once more when the next request of a connection comes. Data
+ * held back by "silent" or "oneway" is forwarded once the mode changes.
  * @return false if `how` is none of these.
  */
 bool fault_proxy_set_mode(struct fault_proxy *proxy, const char *how);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -256,14 +256,13 @@
 }
 
 static void refuse(struct platform_server *server,
-		   struct responder_request *request, const char *request_id)
+		   struct responder_request *request)
 {
 	char headers[STATE_BYTES + 192];
 	char state[STATE_BYTES];
 
 	format_state(server, state, sizeof(state));
-	snprintf(headers, sizeof(headers),
-		 "Not-Executed: 1\r\nRequest-Id: %s\r\n%s%s", request_id, state,
+	snprintf(headers, sizeof(headers), "Not-Executed: 1\r\n%s%s", state,
 		 server->fault == FAULT_BUSY ? "Retry-After: 2.5\r\n" : "");
 	server->refused++;
 	responder_reply(request, 503, headers, NULL);
@@ -292,7 +291,7 @@
 	if (!work->is_waiting) {
 		finish_run(work);
 	} else if (work->is_late) {
-		refuse(work->server, work->request, work->id);
+		refuse(work->server, work->request);
 		work_free(work);
 	} else {
 		work->is_waiting = false;
@@ -362,7 +361,7 @@
 	} else if (server->fault == FAULT_REFUSE || server->fault == FAULT_BUSY ||
 		   (server->running >= server->slots &&
 		    server->waiting >= server->queue_max)) {
-		refuse(server, request, id);
+		refuse(server, request);
 	} else {
 		start_work(server, request, id);
 	}
