fix(attempt): a server that reads a large body late is not taken for dead

Problem: a server that did not read a body for half a second had all requests at it ended, on all connections; answers that had begun were cut (LOST). TCP_USER_TIMEOUT also ends a connection whose peer responds to every probe but has no room, with the error of a host that is gone. Solution: while a body over 16 KB is sent, the timeout of its connection is the time that the request has left. The connection is not used again: the next request would wait behind what the kernel still holds of the body.

--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -471,6 +471,11 @@
 		bufferevent_enable(s->bev, EV_READ);
 }
 
+void http_stream_set_user_timeout(struct http_stream *s, uint32_t timeout_ms)
+{
+	tcp_set_user_timeout(bufferevent_getfd(s->bev), timeout_ms);
+}
+
 size_t http_stream_pending_bytes(const struct http_stream *s)
 {
 	return evbuffer_get_length(bufferevent_get_input(s->bev));
--- a/src/net/http_stream.h
+++ b/src/net/http_stream.h
@@ -122,6 +122,10 @@
 /** Stops or resumes reading from the socket. */
 void http_stream_pause_reading(struct http_stream *stream, bool pause);
 
+/** Changes the stream's TCP_USER_TIMEOUT, see tcp_set_options(). */
+void http_stream_set_user_timeout(struct http_stream *stream,
+				  uint32_t timeout_ms);
+
 /** @return the number of buffered bytes that were not parsed yet. */
 size_t http_stream_pending_bytes(const struct http_stream *stream);
 
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -51,6 +51,11 @@
 			  name, strerror(errno));
 }
 
+void tcp_set_user_timeout(int fd, uint32_t timeout_ms)
+{
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)timeout_ms);
+}
+
 void tcp_set_options(int fd, uint32_t user_timeout_ms)
 {
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -58,7 +63,7 @@
 	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)user_timeout_ms);
+	tcp_set_user_timeout(fd, user_timeout_ms);
 }
 
 int tcp_open_socket(uint32_t user_timeout_ms)
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -24,6 +24,9 @@
  */
 void tcp_set_options(int fd, uint32_t user_timeout_ms);
 
+/** Changes the TCP_USER_TIMEOUT of an open connection. */
+void tcp_set_user_timeout(int fd, uint32_t timeout_ms);
+
 /** TCP_USER_TIMEOUT of callers' connections. */
 #define TCP_CALLER_USER_TIMEOUT_MS 3000
 
--- a/src/proxy/attempt.c
+++ b/src/proxy/attempt.c
@@ -22,6 +22,10 @@
 /* Responses up to this size are buffered until they are complete. */
 #define BUFFERED_RESPONSE_BYTES_MAX (256 * 1024)
 
+/* A server may read a larger body late, or not before it responds. Meanwhile its
+ * window is closed, which TCP_USER_TIMEOUT counts like a host that is gone. */
+#define SMALL_BODY_BYTES_MAX 16384
+
 struct attempt {
 	struct proxy *proxy;
 	struct server *server;
@@ -37,7 +41,8 @@
 	int64_t expected_body_bytes;
 	uint16_t status;
 	bool keep_alive;
-	bool has_id; /* the response bears the request's ID */
+	bool has_large_body; /* the request has */
+	bool has_id;	     /* the response bears the request's ID */
 	bool reused;
 	bool sent;
 	bool response_started; /* its head was read */
@@ -91,6 +96,10 @@
 	size_t body_bytes = evbuffer_get_length(a->request->body);
 
 	a->sent = true;
+	a->has_large_body = body_bytes > SMALL_BODY_BYTES_MAX;
+	if (a->has_large_body)
+		http_stream_set_user_timeout(pool_stream(a->connection),
+					     (uint32_t)MAX(remaining_ms, 1));
 	evbuffer_add_buffer_reference(out, a->request->head);
 	request_headers_encode(out, remaining_ms > 1 ? (uint32_t)remaining_ms : 1,
 			       a->server->id);
@@ -238,9 +247,10 @@
 	facts.not_run = a->meta.not_run;
 	facts.encoded = a->meta.encoded;
 	/* unsent request bytes, or bytes after the response, would be read as
-	 * part of the next message on the connection */
-	if (a->keep_alive && a->has_id && !a->skipped_stale &&
-	    !http_stream_pending_bytes(stream) &&
+	 * part of the next message on the connection; of a large body, the
+	 * kernel may still hold some */
+	if (a->keep_alive && a->has_id && !a->has_large_body &&
+	    !a->skipped_stale && !http_stream_pending_bytes(stream) &&
 	    !evbuffer_get_length(http_stream_output(stream)))
 		pool_release(a->connection, a->meta.idle_timeout_ms);
 	else
--- a/test/unit/proxy/attempt_test.c
+++ b/test/unit/proxy/attempt_test.c
@@ -11,6 +11,7 @@
 #define REFUSAL_WITH_ID                                              \
 	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n" \
 	"Content-Length: 0\r\n\r\n"
+#define LARGE_BODY_BYTES (16 * 1024 * 1024)
 #define SUCCESS                                                        \
 	"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: a.b\r\n" \
 	"Content-Length: 2\r\n\r\nok"
@@ -24,7 +25,9 @@
 	struct bufferevent *connections[8];
 	uint32_t connection_count;
 	uint32_t requests;
-	bool closes; /* after a response */
+	bool closes;	 /* after a response */
+	bool holds;	 /* responds to nothing */
+	bool reads_late; /* nothing from new connections, until told */
 } faulty;
 
 static void on_request(struct bufferevent *bev, void *context)
@@ -38,6 +41,8 @@
 	(void)context;
 	evbuffer_drain(input, evbuffer_get_length(input));
 	faulty.requests++;
+	if (faulty.holds)
+		return;
 	bufferevent_write(bev, text, strlen(text));
 }
 
@@ -62,7 +67,10 @@
 			 G_N_ELEMENTS(faulty.connections));
 	faulty.connections[faulty.connection_count++] = bev;
 	bufferevent_setcb(bev, on_request, on_written, NULL, NULL);
-	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	if (faulty.reads_late)
+		bufferevent_disable(bev, EV_READ);
+	else
+		bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
 
 /* A VM with the faulty server as its only one. */
@@ -179,6 +187,70 @@
 	}
 }
 
+/* Sends an order with a body that the kernel's buffers cannot hold. */
+static int send_large_order(void)
+{
+	char *body = g_malloc0(LARGE_BODY_BYTES);
+	char head[256];
+	size_t sent = 0;
+	ssize_t bytes;
+	int fds[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
+			==, 0);
+	caller_accept(&proxy, fds[0]);
+	g_snprintf(head, sizeof(head),
+		   "POST /note HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+		   "Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n",
+		   LARGE_BODY_BYTES);
+	g_assert_cmpint(write(fds[1], head, strlen(head)), ==,
+			(ssize_t)strlen(head));
+	while (sent < LARGE_BODY_BYTES) {
+		bytes = write(fds[1], body + sent, LARGE_BODY_BYTES - sent);
+		sent += bytes > 0 ? (size_t)bytes : 0;
+		run_ms(5);
+	}
+	g_free(body);
+	return fds[1];
+}
+
+static bool has_response(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* A server that did not read a body for half a second counted as gone, and all
+ * requests at it were ended. */
+static void body_that_is_read_late_ends_no_request(void)
+{
+	int small;
+	int large;
+	uint32_t i;
+
+	setup_faulty(SUCCESS, SUCCESS, false);
+	proxy.config->limits.body_bytes_max = LARGE_BODY_BYTES;
+	faulty.holds = true;
+	small = send_request();
+	run_ms(100);
+	faulty.reads_late = true;
+	large = send_large_order();
+	run_ms(2000);
+	g_assert_cmpuint(faulty.connection_count, ==, 2);
+	g_assert_false(has_response(small));
+	g_assert_false(has_response(large));
+	bufferevent_enable(faulty.connections[1], EV_READ);
+	run_ms(300);
+	for (i = 0; i < 2; i++)
+		bufferevent_write(faulty.connections[i], SUCCESS,
+				  strlen(SUCCESS));
+	run_ms(100);
+	g_assert_cmpint(take_status(small), ==, 200);
+	g_assert_cmpint(take_status(large), ==, 200);
+	teardown_faulty();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -187,5 +259,6 @@
 	ADD_TEST("attempt", refusal_with_an_id_keeps_the_connection);
 	ADD_TEST("attempt", response_cut_in_its_head_is_no_success);
 	ADD_TEST("attempt", refusal_without_proof_is_not_passed_on);
+	ADD_TEST("attempt", body_that_is_read_late_ends_no_request);
 	return g_test_run();
 }
