refactor(request): part the way of a request from what a VM knows of the fleet

**Problem**: src/proxy held 22 files and two circles of includes, and new parts of the request's way had no place. **Solution**: src/request holds connections of callers, exchanges, attempts and the pool; src/sync holds store sync, limits, reachability and crashes. Matching of routes has a file of its own. VMs may register a handoff address and a weight.

--- a/src/fleet/config_defs.h
+++ b/src/fleet/config_defs.h
@@ -10,6 +10,8 @@
  * built; a request uses the same one from start to end.
  */
 
+struct workspace_keys;
+
 struct service {
 	char *name;
 	char *health_path;
@@ -24,12 +26,33 @@
 	uint32_t weight;
 };
 
+/** Kinds of routes: what may be repeated, and how large bodies are. */
+enum route_kind {
+	ROUTE_ORDER,	  /**< runs at most once */
+	ROUTE_IDEMPOTENT, /**< may run more than once */
+	ROUTE_UPLOAD,	  /**< large request bodies; runs at most once */
+	ROUTE_DOWNLOAD,	  /**< large responses; may run more than once */
+};
+
+/** Callers that are known by their keys and share a quota. */
+struct workspace {
+	char *name;
+	bool has_priority;
+	uint32_t priority;   /**< goes before the route's; 0: the highest */
+	char **home_regions; /**< empty: any region */
+	uint32_t home_region_count;
+	double rate_per_s; /**< quota of all entry VMs together; 0: no limit */
+	double burst; /**< requests that may come at once beyond the rate */
+};
+
 struct route {
 	char *name;
 	char *host;
 	char *prefix; /**< begins and ends with a slash */
 	uint32_t prefix_bytes;
+	enum route_kind kind;
 	bool idempotent;
+	bool allows_anonymous; /**< needs no key, see `workspaces` */
 	bool sticky; /**< an object's requests run faster at the same server */
 	uint32_t timeout_ms;
 	uint32_t target_latency_ms;
@@ -58,6 +81,11 @@
 	struct route *routes; /**< sorted, longest prefix first */
 	uint32_t route_count;
 	struct caller_limits limits;
+	bool has_workspaces; /**< requests need a key of a workspace */
+	struct workspace *workspaces;
+	uint32_t workspace_count;
+	struct workspace_keys *keys; /**< NULL unless `has_workspaces` */
+	bool has_large_bodies; /**< some route is an upload or a download */
 };
 
 #endif
--- a/src/fleet/vms.c
+++ b/src/fleet/vms.c
@@ -11,6 +11,9 @@
 #include "base/schema.h"
 #include "net/tcp.h"
 
+/* More than any VM has; keeps sums in 32 bits. */
+#define VM_WEIGHT_MAX 1000000
+
 #define BUILD_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789-"
 
 struct vms {
@@ -51,18 +54,23 @@
 	g_free(vms);
 }
 
-char *vms_encode_entry(const char *address, const char *failure_domain,
-		       const char *relay_address, const char *status_address,
-		       bool cut_off)
+char *vms_encode_entry(const struct vm_entry *entry)
 {
-	json_t *root = json_pack("{s:s,s:s,s:s,s:s,s:s}", "address", address,
-				 "failure_domain", failure_domain,
-				 "relay_address", relay_address, "status_address",
-				 status_address, "build", build_commit());
+	json_t *root = json_pack("{s:s,s:s,s:s,s:s,s:s}", "address",
+				 entry->address, "failure_domain",
+				 entry->failure_domain, "relay_address",
+				 entry->relay_address, "status_address",
+				 entry->status_address, "build", build_commit());
 	char *text;
 
-	if (cut_off)
+	if (entry->cut_off)
 		json_object_set_new(root, "cut_off", json_true());
+	if (entry->handoff_address && *entry->handoff_address) {
+		json_object_set_new(root, "handoff_address",
+				    json_string(entry->handoff_address));
+		json_object_set_new(root, "weight",
+				    json_integer((json_int_t)entry->weight));
+	}
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
 	json_decref(root);
@@ -146,12 +154,15 @@
 	const char *domain = NULL;
 	const char *relay = "";
 	const char *status = "";
+	const char *handoff = "";
+	json_int_t weight = 0;
 	int cut_off = 0;
 	struct vm *vm;
 
-	if (json_unpack(root, "{s:s,s:s,s?s,s?s,s?b}", "address", &address,
-			"failure_domain", &domain, "relay_address", &relay,
-			"status_address", &status, "cut_off", &cut_off) ||
+	if (json_unpack(root, "{s:s,s:s,s?s,s?s,s?b,s?s,s?I}", "address",
+			&address, "failure_domain", &domain, "relay_address",
+			&relay, "status_address", &status, "cut_off", &cut_off,
+			"handoff_address", &handoff, "weight", &weight) ||
 	    !schema_is_address(address)) {
 		record_unreadable(vms, name, root, text, bytes);
 		goto out;
@@ -169,6 +180,9 @@
 	vm->has_relay = schema_is_address(relay) &&
 			tcp_parse_address(relay, &vm->relay);
 	vm->cut_off = cut_off;
+	vm->has_handoff = schema_is_address(handoff) &&
+			  tcp_parse_address(handoff, &vm->handoff);
+	vm->weight = (uint32_t)CLAMP(weight, 0, VM_WEIGHT_MAX);
 	g_ptr_array_add(vms->all, vm);
 	vms->generation++;
 out:
--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -31,6 +31,21 @@
 	int64_t relay_unfit_until_ms; /**< see vms_mark_relay_unfit() */
 	bool has_relay;
 	bool cut_off; /**< it says that it can connect to no backend server */
+	struct sockaddr_in handoff; /**< where it takes requests of other VMs */
+	bool has_handoff;	    /**< false for builds that do not */
+	uint32_t weight;	    /**< its processor share; 0: unknown */
+};
+
+/** What a VM registers in the store. */
+struct vm_entry {
+	const char *address; /**< "IP:port" for callers' requests */
+	const char *failure_domain;
+	const char *relay_address; /**< serves reads of the store; "": nowhere */
+	const char *status_address;  /**< status and metrics; "": nowhere */
+	const char *handoff_address; /**< takes requests of other VMs; "" or
+				      * NULL: nowhere */
+	uint32_t weight; /**< processor share, thousandths of a core */
+	bool cut_off;	 /**< can connect to no backend server */
 };
 
 struct vms;
@@ -38,16 +53,9 @@
 struct vms *vms_new(const struct topology *topology);
 void vms_free(struct vms *vms);
 
-/**
- * @param relay_address where this VM serves reads of the store; "": nowhere.
- * @param status_address where it serves its status and metrics; "": nowhere.
- * @param cut_off whether it can connect to no backend server.
- * @return the JSON text to register for this VM, which the caller frees; NULL
- * on error.
- */
-MUST_USE char *vms_encode_entry(const char *address, const char *failure_domain,
-				const char *relay_address,
-				const char *status_address, bool cut_off);
+/** @return the JSON text to register for this VM, which the caller frees; NULL
+ * on error. */
+MUST_USE char *vms_encode_entry(const struct vm_entry *entry);
 
 /** Adds or replaces a VM. Text that is invalid is logged once, counted and
  * ignored: what was known of the VM holds. */
--- a/src/proxy/directory.c
+++ b/src/proxy/directory.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "decide/naming.h"
 #include "platform/directory_codec.h"
-#include "proxy/reach_watch.h"
+#include "sync/reach_watch.h"
 
 /* Callers cache a response this long; a VM that shuts down accepts connections
  * until then. */
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -6,26 +6,30 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "assign/assignment.h"
 #include "base/build.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "handoff/handoff.h"
 #include "kv/notices.h"
 #include "kv/presence.h"
 #include "net/linger.h"
 #include "net/listener.h"
 #include "net/responder.h"
 #include "platform/directory_codec.h"
-#include "proxy/caller.h"
-#include "proxy/crash.h"
 #include "proxy/directory.h"
 #include "proxy/pause.h"
-#include "proxy/reach_watch.h"
 #include "proxy/reload.h"
-#include "proxy/server_limits.h"
 #include "proxy/status.h"
 #include "proxy/stop.h"
-#include "proxy/store_sync.h"
+#include "queue/wait_queue.h"
+#include "quota/quota.h"
+#include "request/caller.h"
+#include "sync/crash.h"
+#include "sync/reach_watch.h"
+#include "sync/server_limits.h"
+#include "sync/store_sync.h"
 
 /* Environment variable that names the settings file. */
 #define SETTINGS_VARIABLE "AUBURNREACH_CONFIG"
@@ -162,13 +166,15 @@
 	proxy->limits = server_limits_new(proxy);
 	proxy->crashes = crash_watch_new(proxy);
 	proxy->reach = reach_watch_new(proxy);
+	proxy->quota = quota_new(proxy);
+	proxy->assignment = assignment_new(proxy);
+	proxy->handoff = handoff_new(proxy);
+	proxy->wait_queue = wait_queue_new(proxy);
 	if (!proxy->notices || !proxy->crashes || !proxy->reach)
 		return false;
 	proxy->store_sync = store_sync_new(proxy, &store);
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
-	text = vms_encode_entry(settings->request_address,
-				settings->failure_domain, settings->relay_address,
-				settings->metrics_address, false);
+	text = proxy_settings_encode_entry(settings, false);
 	proxy->presence = presence_new(proxy->base, &store, key, text,
 				       &presence_events, proxy->store_sync);
 	g_free(key);
@@ -196,6 +202,10 @@
 	server_limits_free(proxy->limits);
 	notices_free(proxy->notices);
 	reach_watch_free(proxy->reach);
+	wait_queue_free(proxy->wait_queue);
+	handoff_free(proxy->handoff);
+	assignment_free(proxy->assignment);
+	quota_free(proxy->quota);
 	responder_free(entry->metrics);
 	responder_free(entry->directory);
 	responder_free(entry->ready);
--- a/src/proxy/pause.c
+++ b/src/proxy/pause.c
@@ -5,7 +5,7 @@
 
 #include "base/log.h"
 #include "net/timer.h"
-#include "proxy/store_sync.h"
+#include "sync/store_sync.h"
 
 #define CHECK_INTERVAL_MS 500
 /* After a shorter pause the view is no older than the store's watches would
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -30,6 +30,10 @@
 struct server_limits;
 struct crash_watch;
 struct reach_watch;
+struct quota;
+struct handoff;
+struct assignment;
+struct wait_queue;
 
 /** Per-service state of this VM, beside the service's servers. */
 struct service_state {
@@ -62,6 +66,10 @@
 	struct server_limits *limits;
 	struct crash_watch *crashes;
 	struct reach_watch *reach;
+	struct quota *quota;
+	struct handoff *handoff;
+	struct assignment *assignment;
+	struct wait_queue *wait_queue;
 	GHashTable *service_states; /**< name to struct service_state */
 	GHashTable *route_states;   /**< name to struct route_state */
 	struct object_cache object_cache;
--- a/src/proxy/reload.c
+++ b/src/proxy/reload.c
@@ -55,6 +55,7 @@
 	       !strcmp(a->ready_address, b->ready_address) &&
 	       !strcmp(a->directory_address, b->directory_address) &&
 	       !strcmp(a->relay_address, b->relay_address) &&
+	       !strcmp(a->handoff_address, b->handoff_address) &&
 	       !strcmp(a->store_address, b->store_address);
 }
 
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/schema_fields.h"
+#include "fleet/vms.h"
 
 #define DOMAINS_MAX 256
 #define BOUNDS_TEXT_MAX 8192
@@ -39,6 +40,9 @@
 	SCHEMA_ADDRESS(proxy_settings, relay_address, "relay_address", false,
 		       "IP:port where other VMs of the failure domain read this "
 		       "VM's copy of the store; none if absent"),
+	SCHEMA_ADDRESS(proxy_settings, handoff_address, "handoff_address", false,
+		       "IP:port where other VMs hand off requests to this one; "
+		       "none if absent"),
 	SCHEMA_ADDRESS(proxy_settings, store_address, "store_address", true,
 		       "IP:port of the platform's store"),
 	SCHEMA_U32(proxy_settings, store_history_s, "store_history_s", 1, 3600,
@@ -47,6 +51,9 @@
 		   8, "requests of a caller's connection in progress at a time"),
 	SCHEMA_TEXT(proxy_settings, bounds, "bounds", false, BOUNDS_TEXT_MAX,
 		    "the deployment's bounds, as name=value joined by commas"),
+	SCHEMA_TEXT(proxy_settings, cpu_share, "cpu_share", false, 32,
+		    "this VM's share of a processor in cores, a decimal number; 1 "
+		    "if absent"),
 	SCHEMA_BOOL(proxy_settings, first_start, "first_start", false,
 		    "the whole fleet starts for the first time: no caller is "
 		    "waiting yet, and this VM waits until it knows its relay"),
@@ -57,6 +64,31 @@
 const struct schema proxy_settings_schema =
 	SCHEMA_OF(proxy_settings, settings_fields);
 
+/* @return the processor share in thousandths of a core. */
+static uint32_t get_weight(const struct proxy_settings *settings)
+{
+	const char *text = settings->cpu_share;
+	double cores = text && *text ? g_ascii_strtod(text, NULL) : 1;
+
+	return (uint32_t)(CLAMP(cores, 0.001, 1000) * 1000 + 0.5);
+}
+
+char *proxy_settings_encode_entry(const struct proxy_settings *settings,
+				  bool cut_off)
+{
+	const struct vm_entry entry = {
+		.address = settings->request_address,
+		.failure_domain = settings->failure_domain,
+		.relay_address = settings->relay_address,
+		.status_address = settings->metrics_address,
+		.handoff_address = settings->handoff_address,
+		.weight = get_weight(settings),
+		.cut_off = cut_off,
+	};
+
+	return vms_encode_entry(&entry);
+}
+
 bool proxy_settings_read(struct proxy_settings *settings, const char *file_name,
 			 struct schema_errors *errors)
 {
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -19,16 +19,25 @@
 	char *directory_address;
 	char *metrics_address;
 	char *relay_address;
+	char *handoff_address;
 	char *store_address;
 	uint32_t store_history_s;
 	uint32_t pipelined_requests;
 	char *bounds;
+	char *cpu_share;
 	char *log_level;
 	bool first_start;
 };
 
 extern const struct schema proxy_settings_schema;
 
+/**
+ * @param cut_off whether this VM can connect to no backend server.
+ * @return the entry to register for this VM, which the caller frees, or NULL.
+ */
+char *proxy_settings_encode_entry(const struct proxy_settings *settings,
+				  bool cut_off);
+
 /**
  * Reads and validates a settings file.
  *
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -8,9 +8,9 @@
 
 #include "base/build.h"
 #include "base/log.h"
-#include "proxy/reach_watch.h"
-#include "proxy/server_limits.h"
-#include "proxy/store_sync.h"
+#include "sync/reach_watch.h"
+#include "sync/server_limits.h"
+#include "sync/store_sync.h"
 
 static json_t *encode_vms(const struct proxy *proxy)
 {
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -6,7 +6,7 @@
 
 #include "base/log.h"
 #include "net/timer.h"
-#include "proxy/caller.h"
+#include "request/caller.h"
 
 /* Interval between checks of the shutdown's progress. */
 #define CHECK_INTERVAL_MS 100
--- a/src/proxy/attempt.c
+++ b/src/request/attempt.c
@@ -1,4 +1,4 @@
-#include "proxy/attempt.h"
+#include "request/attempt.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -9,10 +9,10 @@
 #include "base/log.h"
 #include "net/timer.h"
 #include "platform/header_codec.h"
-#include "proxy/headers.h"
-#include "proxy/pool.h"
-#include "proxy/reach_watch.h"
-#include "proxy/server_limits.h"
+#include "request/headers.h"
+#include "request/pool.h"
+#include "sync/reach_watch.h"
+#include "sync/server_limits.h"
 
 /* Connecting takes one round trip, 70 ms between regions. Waiting for the
  * retransmission of a lost SYN would take a second. */
--- a/src/proxy/attempt.h
+++ b/src/request/attempt.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_ATTEMPT_H
-#define PROXY_ATTEMPT_H
+#ifndef REQUEST_ATTEMPT_H
+#define REQUEST_ATTEMPT_H
 
 #include <event2/buffer.h>
 
--- a/src/proxy/caller.c
+++ b/src/request/caller.c
@@ -1,4 +1,4 @@
-#include "proxy/caller_internal.h"
+#include "request/caller_internal.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -10,8 +10,8 @@
 #include "net/http_stream.h"
 #include "net/responder.h"
 #include "net/timer.h"
-#include "proxy/exchange.h"
-#include "proxy/reach_watch.h"
+#include "request/exchange.h"
+#include "sync/reach_watch.h"
 
 /* Limits used until a configuration is read. */
 static const struct caller_limits default_limits = {
--- a/src/proxy/caller.h
+++ b/src/request/caller.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_CALLER_H
-#define PROXY_CALLER_H
+#ifndef REQUEST_CALLER_H
+#define REQUEST_CALLER_H
 
 #include <event2/buffer.h>
 
--- a/src/proxy/caller_internal.h
+++ b/src/request/caller_internal.h
@@ -1,9 +1,9 @@
-#ifndef PROXY_CALLER_INTERNAL_H
-#define PROXY_CALLER_INTERNAL_H
+#ifndef REQUEST_CALLER_INTERNAL_H
+#define REQUEST_CALLER_INTERNAL_H
 
 #include "net/http_stream.h"
-#include "proxy/caller.h"
-#include "proxy/exchange.h"
+#include "request/caller.h"
+#include "request/exchange.h"
 
 /** @file Declarations shared by the source files of callers' connections. */
 
--- a/src/proxy/callers_stop.c
+++ b/src/request/callers_stop.c
@@ -1,5 +1,5 @@
 #include "net/linger.h"
-#include "proxy/caller_internal.h"
+#include "request/caller_internal.h"
 
 /* Callers' connections during a graceful shutdown. */
 
--- a/src/proxy/exchange.c
+++ b/src/request/exchange.c
@@ -1,20 +1,21 @@
-#include "proxy/exchange.h"
+#include "request/exchange.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <xxhash.h>
 
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "handoff/handoff.h"
 #include "net/buffer.h"
 #include "net/timer.h"
 #include "platform/header_codec.h"
-#include "proxy/crash.h"
-#include "proxy/exchange_internal.h"
-#include "proxy/headers.h"
+#include "quota/quota.h"
+#include "request/exchange_internal.h"
+#include "request/headers.h"
+#include "sync/crash.h"
 
 /* Limit on buffered bodies of all requests in progress: half of the smallest
  * VM's memory, which is 112 MB. */
@@ -23,9 +24,6 @@
  * connection is closed. Smaller bodies are read and discarded first, so that
  * the connection can be kept open. */
 #define DISCARDED_BODY_BYTES_MAX 65536
-/* Added to the time limit, so that the server's own response at its deadline
- * can still arrive. */
-#define LATE_RESPONSE_GRACE_MS 120
 /* Time before the exit of this process in which a server reports that the time
  * is up, also one that has read the request late. */
 #define EXIT_REPORT_MS 400
@@ -43,75 +41,6 @@
 static void on_deadline(evutil_socket_t fd, short what, void *context);
 static void start_attempt(struct exchange *e, const char *retry_reason);
 
-/* Records why a request is refused; the response is sent later. */
-static void set_refusal(struct exchange *e, uint16_t status, const char *reason)
-{
-	e->refusal_status = status;
-	e->refusal_reason = reason;
-}
-
-static void copy_host(const struct http_head *head, char *out, size_t bytes)
-{
-	const char *host = http_head_get(head, "Host");
-
-	g_strlcpy(out, host ? host : "", bytes);
-	out[strcspn(out, ":")] = '\0';
-}
-
-/* With several Host headers the proxy could match one and the server could use
- * another. */
-static bool has_one_host(const struct http_head *head)
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < head->header_count; i++)
-		count += !strcasecmp(head->headers[i].name, "Host");
-	return count == 1;
-}
-
-static void match_route(struct exchange *e, const struct http_head *head)
-{
-	char host[256];
-
-	if (*head->target != '/' || !has_one_host(head)) {
-		set_refusal(e, 400, "target-or-host");
-		return;
-	}
-	if (!e->config) {
-		set_refusal(e, 503, "no-configuration");
-		return;
-	}
-	copy_host(head, host, sizeof(host));
-	e->route = config_find_route(e->config, host, head->target);
-	if (!e->route) {
-		set_refusal(e, 404, "no-route");
-		return;
-	}
-	e->service = config_select_route_part(e->route,
-					      XXH3_64bits(e->id, strlen(e->id)))
-			     ->service;
-	e->body_bytes_max = e->config->limits.body_bytes_max;
-	if (head->content_length > (int64_t)e->body_bytes_max)
-		set_refusal(e, 413, "body-too-large");
-}
-
-/* Late in a graceful shutdown, other VMs have more time for a new request. One
- * that may outlast this process could be given up while a server runs it. */
-static void refuse_late_arrival(struct exchange *e)
-{
-	const struct proxy *proxy = e->proxy;
-	const int64_t now_ms = proxy_now_ms(proxy);
-	const bool may_outlast_exit = e->deadline_ms + LATE_RESPONSE_GRACE_MS >
-				      proxy->exit_deadline_ms;
-
-	if (e->refusal_status || !proxy->stopping)
-		return;
-	if (now_ms >= proxy->refuse_from_ms ||
-	    (now_ms >= proxy->late_from_ms && may_outlast_exit))
-		set_refusal(e, 503, "stopping");
-}
-
 static void set_deadline(struct exchange *e, uint32_t caller_ms)
 {
 	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
@@ -156,9 +85,9 @@
 	gauge_add(GAUGE_IN_FLIGHT, 1);
 	counter_add(COUNTER_REQUESTS, 1);
 	headers_copy_request(head, e->head);
-	match_route(e, head);
+	exchange_match_route(e, head);
 	set_deadline(e, meta.deadline_ms);
-	refuse_late_arrival(e);
+	exchange_refuse_late_arrival(e);
 	e->request.id = e->id;
 	e->request.method = e->method;
 	e->request.head = e->head;
@@ -167,7 +96,7 @@
 	if (!e->refusal_status &&
 	    proxy->buffered_body_bytes + (uint64_t)MAX(head->content_length, 0) >
 		    BUFFERED_BODIES_BYTES_MAX)
-		set_refusal(e, 503, "bodies-fill-memory");
+		exchange_set_refusal(e, 503, "bodies-fill-memory");
 	e->refuses_body = e->refusal_status &&
 			  head->content_length > DISCARDED_BODY_BYTES_MAX;
 	return e;
@@ -215,12 +144,29 @@
 	return XXH3_64bits(parts, sizeof(parts));
 }
 
+/* @return whether the request was refused, which frees the exchange. The VM to
+ * which the caller sent it has counted one that was handed off. */
+static bool refuse_over_quota(struct exchange *e)
+{
+	uint32_t wait_ms;
+
+	if (e->handed_off || !e->workspace)
+		return false;
+	wait_ms = quota_admit(e->proxy->quota, e->workspace);
+	if (!wait_ms)
+		return false;
+	e->wait_ms = wait_ms;
+	e->wait_is_stated = true;
+	exchange_fail(e, 429, "over-quota");
+	return true;
+}
+
 void exchange_process_request(struct exchange *e)
 {
 	struct retry_share_rule rule;
 	struct service_state *state;
 
-	refuse_late_arrival(e);
+	exchange_refuse_late_arrival(e);
 	if (e->refusal_status) {
 		exchange_fail(e, e->refusal_status, e->refusal_reason);
 		return;
@@ -233,6 +179,8 @@
 	rule = exchange_retry_rule(e);
 	state = exchange_service_state(e);
 	retry_share_count_request(&state->retries, &rule, e->started_ms);
+	if (refuse_over_quota(e))
+		return;
 	exchange_choose_region(e);
 	start_attempt(e, NULL);
 }
@@ -489,6 +437,8 @@
 	struct server *server;
 
 	limit_deadline_to_exit(e);
+	if (handoff_start(e))
+		return;
 	server = exchange_select_server(e, retry_reason, &refusal);
 	if (!server) {
 		counter_add(COUNTER_REFUSED_FULL, 1);
--- a/src/proxy/exchange.h
+++ b/src/request/exchange.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_EXCHANGE_H
-#define PROXY_EXCHANGE_H
+#ifndef REQUEST_EXCHANGE_H
+#define REQUEST_EXCHANGE_H
 
 #include "net/http_stream.h"
 #include "proxy/proxy_defs.h"
--- a/src/proxy/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -1,10 +1,10 @@
-#ifndef PROXY_EXCHANGE_INTERNAL_H
-#define PROXY_EXCHANGE_INTERNAL_H
+#ifndef REQUEST_EXCHANGE_INTERNAL_H
+#define REQUEST_EXCHANGE_INTERNAL_H
 
 #include "decide/place.h"
-#include "proxy/attempt.h"
-#include "proxy/caller.h"
-#include "proxy/exchange.h"
+#include "request/attempt.h"
+#include "request/caller.h"
+#include "request/exchange.h"
 
 /** @file Declarations shared by the source files of an exchange. */
 
@@ -12,12 +12,17 @@
  * allows. */
 #define EXCHANGE_TRIED_SERVERS_MAX 8
 
+/** Added to the time limit, so that the server's own response at its deadline
+ * can still arrive. */
+#define LATE_RESPONSE_GRACE_MS 120
+
 struct exchange {
 	struct proxy *proxy;
 	struct caller_request *caller;
 	struct config *config;
 	const struct route *route;
 	const struct service *service;
+	const struct workspace *workspace; /* of its key; NULL: none */
 	char *id;
 	char *method;
 	uint64_t object_hash;
@@ -41,6 +46,9 @@
 	uint32_t tried_count;
 	uint32_t send_count; /* attempts that may have reached a server */
 	enum verdict worst_verdict;
+	bool handed_off; /* another entry VM passed it on to this one */
+	/* region in which it should run, interned; NULL: not chosen */
+	const char *region;
 	bool spilled_over;  /* should run in another region */
 	bool object_cached; /* the selected server has the object cached */
 	/* wait, round trip and run time expected at the selected server */
@@ -51,6 +59,24 @@
 	bool wait_is_stated; /* no estimate: all servers pause until then */
 };
 
+/** Records why a request is refused; the response is sent later. */
+void exchange_set_refusal(struct exchange *exchange, uint16_t status,
+			  const char *reason);
+
+/** Selects the route, the workspace and the service, or refuses the request. */
+void exchange_match_route(struct exchange *exchange,
+			  const struct http_head *head);
+
+/** Refuses a request that arrives too late in a graceful shutdown. */
+void exchange_refuse_late_arrival(struct exchange *exchange);
+
+/** @return the rank of the request, the workspace's before the route's; 0 is
+ * the highest. */
+uint32_t exchange_priority(const struct exchange *exchange);
+
+/** @return whether route and workspace allow the request to run in a region. */
+bool exchange_allows_region(const struct exchange *exchange, const char *region);
+
 /** Decides whether the request should run in this region or in another. */
 void exchange_choose_region(struct exchange *exchange);
 
--- /dev/null
+++ b/src/request/exchange_match.c
@@ -0,0 +1,73 @@
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#include "request/exchange_internal.h"
+
+void exchange_set_refusal(struct exchange *e, uint16_t status, const char *reason)
+{
+	e->refusal_status = status;
+	e->refusal_reason = reason;
+}
+
+static void copy_host(const struct http_head *head, char *out, size_t bytes)
+{
+	const char *host = http_head_get(head, "Host");
+
+	g_strlcpy(out, host ? host : "", bytes);
+	out[strcspn(out, ":")] = '\0';
+}
+
+/* With several Host headers the proxy could match one and the server could use
+ * another. */
+static bool has_one_host(const struct http_head *head)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < head->header_count; i++)
+		count += !strcasecmp(head->headers[i].name, "Host");
+	return count == 1;
+}
+
+void exchange_match_route(struct exchange *e, const struct http_head *head)
+{
+	char host[256];
+
+	if (*head->target != '/' || !has_one_host(head)) {
+		exchange_set_refusal(e, 400, "target-or-host");
+		return;
+	}
+	if (!e->config) {
+		exchange_set_refusal(e, 503, "no-configuration");
+		return;
+	}
+	copy_host(head, host, sizeof(host));
+	e->route = config_find_route(e->config, host, head->target);
+	if (!e->route) {
+		exchange_set_refusal(e, 404, "no-route");
+		return;
+	}
+	e->service = config_select_route_part(e->route,
+					      XXH3_64bits(e->id, strlen(e->id)))
+			     ->service;
+	e->body_bytes_max = e->config->limits.body_bytes_max;
+	if (head->content_length > (int64_t)e->body_bytes_max)
+		exchange_set_refusal(e, 413, "body-too-large");
+}
+
+/* Late in a graceful shutdown, other VMs have more time for a new request. One
+ * that may outlast this process could be given up while a server runs it. */
+void exchange_refuse_late_arrival(struct exchange *e)
+{
+	const struct proxy *proxy = e->proxy;
+	const int64_t now_ms = proxy_now_ms(proxy);
+	const bool may_outlast_exit = e->deadline_ms + LATE_RESPONSE_GRACE_MS >
+				      proxy->exit_deadline_ms;
+
+	if (e->refusal_status || !proxy->stopping)
+		return;
+	if (now_ms >= proxy->refuse_from_ms ||
+	    (now_ms >= proxy->late_from_ms && may_outlast_exit))
+		exchange_set_refusal(e, 503, "stopping");
+}
--- a/src/proxy/exchange_place.c
+++ b/src/request/exchange_place.c
@@ -4,11 +4,11 @@
 #include "base/log.h"
 #include "decide/cold_share.h"
 #include "decide/place.h"
-#include "proxy/exchange_internal.h"
-#include "proxy/reach_watch.h"
-#include "proxy/sender.h"
-#include "proxy/server_limits.h"
-#include "proxy/store_sync.h"
+#include "request/exchange_internal.h"
+#include "sync/reach_watch.h"
+#include "sync/sender.h"
+#include "sync/server_limits.h"
+#include "sync/store_sync.h"
 
 /* Limit on the candidate servers of one service; the largest known service has
  * a few hundred. */
@@ -90,18 +90,35 @@
 	return rule;
 }
 
-static bool is_home_region(const struct route *route, const struct server *server)
+uint32_t exchange_priority(const struct exchange *e)
+{
+	return e->workspace && e->workspace->has_priority ? e->workspace->priority
+							  : e->route->priority;
+}
+
+static bool is_home_region(char *const *homes, uint32_t count, const char *region)
 {
 	uint32_t i;
 
-	if (!route->home_region_count)
+	if (!count)
 		return true;
-	for (i = 0; server->region && i < route->home_region_count; i++)
-		if (!strcmp(route->home_regions[i], server->region))
+	for (i = 0; region && i < count; i++)
+		if (!strcmp(homes[i], region))
 			return true;
 	return false;
 }
 
+bool exchange_allows_region(const struct exchange *e, const char *region)
+{
+	const struct workspace *workspace = e->workspace;
+
+	return is_home_region(e->route->home_regions,
+			      e->route->home_region_count, region) &&
+	       (!workspace ||
+		is_home_region(workspace->home_regions,
+			       workspace->home_region_count, region));
+}
+
 /* Whether this VM may send a request to the server now. Limits the rate only of
  * cold servers. */
 static bool has_cold_allowance(const struct exchange *e, struct server *server,
@@ -125,7 +142,8 @@
 /* Whether the server accepts new requests of this route. */
 static bool is_eligible(const struct exchange *e, const struct server *server)
 {
-	return server_is_usable(server) && is_home_region(e->route, server) &&
+	return server_is_usable(server) &&
+	       exchange_allows_region(e, server->region) &&
 	       !g_hash_table_contains(e->proxy->evacuated,
 				      server->failure_domain);
 }
--- a/src/proxy/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -6,9 +6,9 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "platform/header_codec.h"
-#include "proxy/exchange_internal.h"
-#include "proxy/headers.h"
-#include "proxy/reach_watch.h"
+#include "request/exchange_internal.h"
+#include "request/headers.h"
+#include "sync/reach_watch.h"
 
 /* Retry-After value if no wait has been estimated. */
 #define RETRY_AFTER_DEFAULT_MS 500
--- a/src/proxy/headers.c
+++ b/src/request/headers.c
@@ -1,4 +1,4 @@
-#include "proxy/headers.h"
+#include "request/headers.h"
 
 #include <stdbool.h>
 #include <strings.h>
--- a/src/proxy/headers.h
+++ b/src/request/headers.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_HEADERS_H
-#define PROXY_HEADERS_H
+#ifndef REQUEST_HEADERS_H
+#define REQUEST_HEADERS_H
 
 #include <event2/buffer.h>
 
--- a/src/proxy/message_defs.h
+++ b/src/request/message_defs.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_MESSAGE_DEFS_H
-#define PROXY_MESSAGE_DEFS_H
+#ifndef REQUEST_MESSAGE_DEFS_H
+#define REQUEST_MESSAGE_DEFS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/proxy/pool.c
+++ b/src/request/pool.c
@@ -1,4 +1,4 @@
-#include "proxy/pool.h"
+#include "request/pool.h"
 
 #include <stdlib.h>
 
--- a/src/proxy/pool.h
+++ b/src/request/pool.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_POOL_H
-#define PROXY_POOL_H
+#ifndef REQUEST_POOL_H
+#define REQUEST_POOL_H
 
 #include "net/http_stream.h"
 #include "proxy/proxy_defs.h"
--- a/src/proxy/crash.c
+++ b/src/sync/crash.c
@@ -1,4 +1,4 @@
-#include "proxy/crash.h"
+#include "sync/crash.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -11,7 +11,7 @@
 #include "kv/notices.h"
 #include "net/http_stream.h"
 #include "net/timer.h"
-#include "proxy/reach_watch.h"
+#include "sync/reach_watch.h"
 
 /* Delay before the probe. A crashed server does not listen again by then; a
  * server that only closed one connection does. */
--- a/src/proxy/crash.h
+++ b/src/sync/crash.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_CRASH_H
-#define PROXY_CRASH_H
+#ifndef SYNC_CRASH_H
+#define SYNC_CRASH_H
 
 #include "proxy/proxy_defs.h"
 
--- a/src/proxy/reach_watch.c
+++ b/src/sync/reach_watch.c
@@ -1,4 +1,4 @@
-#include "proxy/reach_watch.h"
+#include "sync/reach_watch.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -56,7 +56,6 @@
 static void on_entry_timer(evutil_socket_t fd, short what, void *context)
 {
 	struct reach_watch *watch = context;
-	const struct proxy_settings *settings = watch->proxy->settings;
 	const bool cut_off = reach_watch_is_cut_off(watch);
 	char *text;
 
@@ -64,9 +63,7 @@
 	(void)what;
 	if (cut_off == watch->entry_says_cut_off || !watch->proxy->presence)
 		return;
-	text = vms_encode_entry(settings->request_address,
-				settings->failure_domain, settings->relay_address,
-				settings->metrics_address, cut_off);
+	text = proxy_settings_encode_entry(watch->proxy->settings, cut_off);
 	if (!text)
 		return;
 	watch->entry_says_cut_off = cut_off;
--- a/src/proxy/reach_watch.h
+++ b/src/sync/reach_watch.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_REACH_WATCH_H
-#define PROXY_REACH_WATCH_H
+#ifndef SYNC_REACH_WATCH_H
+#define SYNC_REACH_WATCH_H
 
 #include "proxy/proxy_defs.h"
 
--- a/src/proxy/sender.c
+++ b/src/sync/sender.c
@@ -1,4 +1,4 @@
-#include "proxy/sender.h"
+#include "sync/sender.h"
 
 #include <string.h>
 
--- a/src/proxy/sender.h
+++ b/src/sync/sender.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_SENDER_H
-#define PROXY_SENDER_H
+#ifndef SYNC_SENDER_H
+#define SYNC_SENDER_H
 
 #include "proxy/proxy_defs.h"
 
--- a/src/proxy/server_limits.c
+++ b/src/sync/server_limits.c
@@ -1,4 +1,4 @@
-#include "proxy/server_limits.h"
+#include "sync/server_limits.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -8,8 +8,8 @@
 #include "base/number.h"
 #include "kv/notices.h"
 #include "net/timer.h"
-#include "proxy/sender.h"
-#include "proxy/store_sync.h"
+#include "sync/sender.h"
+#include "sync/store_sync.h"
 
 /* Wait of a VM that has just registered, until it is in its own list. */
 #define REGISTRATION_WAIT_MS 1000
--- a/src/proxy/server_limits.h
+++ b/src/sync/server_limits.h
@@ -1,8 +1,8 @@
-#ifndef PROXY_SERVER_LIMITS_H
-#define PROXY_SERVER_LIMITS_H
+#ifndef SYNC_SERVER_LIMITS_H
+#define SYNC_SERVER_LIMITS_H
 
-#include "proxy/message_defs.h"
 #include "proxy/proxy_defs.h"
+#include "request/message_defs.h"
 
 /**
  * @file
--- a/src/proxy/store_sync.c
+++ b/src/sync/store_sync.c
@@ -1,4 +1,4 @@
-#include "proxy/store_sync.h"
+#include "sync/store_sync.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -12,8 +12,8 @@
 #include "net/timer.h"
 #include "platform/config_codec.h"
 #include "platform/server_codec.h"
-#include "proxy/crash.h"
-#include "proxy/server_limits.h"
+#include "sync/crash.h"
+#include "sync/server_limits.h"
 
 /* Servers of a failure domain count as cold for this long after its evacuation
  * ends if no service configures a cold start. */
--- a/src/proxy/store_sync.h
+++ b/src/sync/store_sync.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_STORE_SYNC_H
-#define PROXY_STORE_SYNC_H
+#ifndef SYNC_STORE_SYNC_H
+#define SYNC_STORE_SYNC_H
 
 #include "proxy/proxy_defs.h"
 
--- a/test/unit/fleet/vms_test.c
+++ b/test/unit/fleet/vms_test.c
@@ -15,13 +15,24 @@
 	return g_ptr_array_index(vms_all(vms), 0);
 }
 
+static char *encode(const char *relay_address, bool cut_off)
+{
+	const struct vm_entry entry = {
+		.address = "127.0.0.1:1",
+		.failure_domain = "fyn-a",
+		.relay_address = relay_address,
+		.status_address = "",
+		.cut_off = cut_off,
+	};
+
+	return vms_encode_entry(&entry);
+}
+
 static void entry_says_that_the_vm_is_cut_off(void)
 {
 	struct vms *vms = vms_new(&topology);
-	char *sound = vms_encode_entry("127.0.0.1:1", "fyn-a", "127.0.0.1:2",
-				       "", false);
-	char *cut_off = vms_encode_entry("127.0.0.1:1", "fyn-a", "127.0.0.1:2",
-					 "", true);
+	char *sound = encode("127.0.0.1:2", false);
+	char *cut_off = encode("127.0.0.1:2", true);
 
 	g_assert_false(put(vms, sound)->cut_off);
 	g_assert_cmpuint(vms_count_cut_off(vms), ==, 0);
@@ -55,7 +66,7 @@
 	static const char renamed[] = "{\"addr\":\"127.0.0.1:1\","
 				      "\"build\":\"0123456789ab\"}";
 	struct vms *vms = vms_new(&topology);
-	char *text = vms_encode_entry("127.0.0.1:1", "fyn-a", "", "", false);
+	char *text = encode("", false);
 	const uint64_t before = counter_get(COUNTER_UNREADABLE_ENTRIES);
 
 	put(vms, text);
@@ -75,8 +86,7 @@
 static void a_cut_off_vm_stays_a_member(void)
 {
 	struct vms *vms = vms_new(&topology);
-	char *text = vms_encode_entry("127.0.0.1:1", "fyn-a", "127.0.0.1:2", "",
-				      true);
+	char *text = encode("127.0.0.1:2", true);
 
 	put(vms, text);
 	g_assert_nonnull(vms_select_relay(vms, g_intern_string("fyn-a"), 0));
--- a/test/unit/proxy/directory_test.c
+++ b/test/unit/proxy/directory_test.c
@@ -23,7 +23,13 @@
 
 static void put_vm(const char *name, const char *at)
 {
-	char *text = vms_encode_entry(at, "fyn-a", "", "", false);
+	const struct vm_entry entry = {
+		.address = at,
+		.failure_domain = "fyn-a",
+		.relay_address = "",
+		.status_address = "",
+	};
+	char *text = vms_encode_entry(&entry);
 
 	vms_put(proxy.vms, name, text, strlen(text));
 	free(text);
--- a/test/unit/proxy/stopping_vm.h
+++ b/test/unit/proxy/stopping_vm.h
@@ -13,12 +13,12 @@
 #include "net/tcp.h"
 #include "net/timer.h"
 #include "platform_kv.h"
-#include "proxy/caller.h"
-#include "proxy/crash.h"
-#include "proxy/pool.h"
-#include "proxy/server_limits.h"
 #include "proxy/stop.h"
-#include "proxy/store_sync.h"
+#include "request/caller.h"
+#include "request/pool.h"
+#include "sync/crash.h"
+#include "sync/server_limits.h"
+#include "sync/store_sync.h"
 #include "unit/test.h"
 
 /**
--- a/test/unit/proxy/stop_callers_test.c
+++ b/test/unit/request/stop_callers_test.c
@@ -6,8 +6,8 @@
 #include "net/linger.h"
 #include "net/tcp.h"
 #include "platform_kv.h"
-#include "proxy/caller.h"
 #include "proxy/stop.h"
+#include "request/caller.h"
 #include "unit/test.h"
 
 /* Callers that connect while this process shuts down. The clock is advanced
--- a/test/unit/proxy/crash_test.c
+++ b/test/unit/sync/crash_test.c
@@ -1,4 +1,4 @@
-#include "proxy/crash.h"
+#include "sync/crash.h"
 
 #include <stdlib.h>
 #include <unistd.h>
--- a/test/unit/proxy/server_limits_test.c
+++ b/test/unit/sync/server_limits_test.c
@@ -1,4 +1,4 @@
-#include "proxy/server_limits.h"
+#include "sync/server_limits.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -8,9 +8,9 @@
 #include "kv/notices.h"
 #include "net/tcp.h"
 #include "platform_kv.h"
-#include "proxy/crash.h"
-#include "proxy/sender.h"
-#include "proxy/store_sync.h"
+#include "sync/crash.h"
+#include "sync/sender.h"
+#include "sync/store_sync.h"
 #include "unit/test.h"
 
 /* Two entry VMs, e1 and e2, that read the store's stand-in in one process. */
@@ -48,7 +48,14 @@
 static void list_vm(const char *name, bool cut_off)
 {
 	char *key = g_strconcat(VMS_KEY_PREFIX, name, NULL);
-	char *text = vms_encode_entry("127.0.0.1:1", "fyn-a", "", "", cut_off);
+	const struct vm_entry entry = {
+		.address = "127.0.0.1:1",
+		.failure_domain = "fyn-a",
+		.relay_address = "",
+		.status_address = "",
+		.cut_off = cut_off,
+	};
+	char *text = vms_encode_entry(&entry);
 
 	platform_kv_put(kv, key, text);
 	free(text);
--- a/test/unit/proxy/store_sync_test.c
+++ b/test/unit/sync/store_sync_test.c
@@ -1,4 +1,4 @@
-#include "proxy/store_sync.h"
+#include "sync/store_sync.h"
 
 #include <event2/event.h>
 #include <stdlib.h>
@@ -11,8 +11,8 @@
 #include "platform/config_codec.h"
 #include "platform/server_codec.h"
 #include "platform_kv.h"
-#include "proxy/crash.h"
-#include "proxy/server_limits.h"
+#include "sync/crash.h"
+#include "sync/server_limits.h"
 #include "unit/test.h"
 
 /* Runs the store sync of several VMs of one failure domain against the store's
@@ -111,8 +111,13 @@
 static void register_vm(const struct vm_under_test *vm)
 {
 	char *key = g_strconcat(VMS_KEY_PREFIX, vm->name, NULL);
-	char *text = vms_encode_entry("127.0.0.1:1", "fyn-a", vm->relay_address,
-				      "", false);
+	const struct vm_entry entry = {
+		.address = "127.0.0.1:1",
+		.failure_domain = "fyn-a",
+		.relay_address = vm->relay_address,
+		.status_address = "",
+	};
+	char *text = vms_encode_entry(&entry);
 
 	platform_kv_put(kv, key, text);
 	g_free(key);
