feat(workspace): decode workspaces, authenticate requests, hide their keys

**Problem** The configuration may name workspaces (`Tenants`) whose requests carry a key. The codec ignored the table and the kinds `upload` and `download`, every request was accepted, and `Authorization` was forwarded to servers.

`workspace/authenticate` finds the workspace; without one, a route that allows no anonymous requests responds with 401. `Authorization` and the caller's `Tenant-Id` are not forwarded where there are workspaces, and `Tenant-Id` is set when the request is sent. The head for another entry VM, with the key, is kept where a route has large bodies.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -65,6 +65,8 @@
 	[COUNTER_UNREADABLE_ENTRIES] = { "unreadable_entries",
 					 "values in the store that could not be "
 					 "read, each time" },
+	[COUNTER_REFUSED_KEY] = { "refused_key",
+				  "requests refused for their key (401)" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
--- a/src/fleet/config.c
+++ b/src/fleet/config.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "workspace/keys.h"
+
 struct config *config_new(uint32_t service_count, uint32_t route_count)
 {
 	struct config *config = calloc(1, sizeof(*config));
@@ -22,6 +24,17 @@
 	return config;
 }
 
+bool config_add_workspaces(struct config *config, uint32_t count)
+{
+	config->has_workspaces = true;
+	config->workspaces = calloc((size_t)count + 1, sizeof(struct workspace));
+	config->keys = workspace_keys_new();
+	if (!config->workspaces || !config->keys)
+		return false;
+	config->workspace_count = count;
+	return true;
+}
+
 static int compare_prefixes(const void *left, const void *right)
 {
 	const struct route *a = left;
@@ -93,6 +106,8 @@
 		problem = check_route(route);
 		if (problem)
 			return problem;
+		if (route->kind == ROUTE_UPLOAD || route->kind == ROUTE_DOWNLOAD)
+			config->has_large_bodies = true;
 	}
 	for (i = 0; i < config->route_count; i++)
 		config->routes[i].is_top_priority =
@@ -108,17 +123,28 @@
 	return config;
 }
 
-static void route_clear(struct route *route)
+static void free_strings(char **strings, uint32_t count)
 {
 	uint32_t i;
 
+	for (i = 0; i < count; i++)
+		free(strings[i]);
+	free(strings);
+}
+
+static void route_clear(struct route *route)
+{
 	free(route->name);
 	free(route->host);
 	free(route->prefix);
 	free(route->parts);
-	for (i = 0; i < route->home_region_count; i++)
-		free(route->home_regions[i]);
-	free(route->home_regions);
+	free_strings(route->home_regions, route->home_region_count);
+}
+
+static void workspace_clear(struct workspace *workspace)
+{
+	free(workspace->name);
+	free_strings(workspace->home_regions, workspace->home_region_count);
 }
 
 void config_unref(struct config *config)
@@ -133,6 +159,10 @@
 	}
 	for (i = 0; i < config->route_count; i++)
 		route_clear(&config->routes[i]);
+	for (i = 0; i < config->workspace_count; i++)
+		workspace_clear(&config->workspaces[i]);
+	workspace_keys_free(config->keys);
+	free(config->workspaces);
 	free(config->services);
 	free(config->routes);
 	free(config);
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -13,6 +13,9 @@
 /** @return an empty configuration with one reference, or NULL. */
 struct config *config_new(uint32_t service_count, uint32_t route_count);
 
+/** Makes requests need a key. @return false if out of memory. */
+MUST_USE bool config_add_workspaces(struct config *config, uint32_t count);
+
 /**
  * Validates a decoded configuration, sorts its routes and sets their derived
  * fields.
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -102,7 +102,7 @@
 					     (uint32_t)MAX(remaining_ms, 1));
 	evbuffer_add_buffer_reference(out, a->request->head);
 	request_headers_encode(out, remaining_ms > 1 ? (uint32_t)remaining_ms : 1,
-			       a->server->id);
+			       a->server->id, a->request->workspace);
 	if (body_bytes)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body_bytes);
 	else if (strcmp(a->request->method, "GET") &&
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -36,7 +36,8 @@
 	 * server. */
 	struct evbuffer *head;
 	struct evbuffer *body;
-	int64_t deadline_ms; /**< clock time; the server may stop after it */
+	const char *workspace; /**< name of the caller's; NULL: none */
+	int64_t deadline_ms;   /**< clock time; the server may stop after it */
 };
 
 /** @return an attempt that the caller frees, or NULL if nothing was sent. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -60,6 +60,16 @@
 	return XXH3_64bits(e->id, strlen(e->id));
 }
 
+static void copy_head(struct exchange *e, const struct http_head *head)
+{
+	headers_copy_request(head, e->config && e->config->has_workspaces,
+			     e->head);
+	if (!e->config || !e->config->has_large_bodies || e->refusal_status)
+		return;
+	e->handoff_head = evbuffer_new();
+	headers_copy_request_for_vm(head, e->handoff_head);
+}
+
 struct exchange *exchange_begin(struct proxy *proxy,
 				struct caller_request *caller,
 				const struct http_head *head)
@@ -84,14 +94,15 @@
 	proxy->exchanges_in_progress++;
 	gauge_add(GAUGE_IN_FLIGHT, 1);
 	counter_add(COUNTER_REQUESTS, 1);
-	headers_copy_request(head, e->head);
 	exchange_match_route(e, head);
+	copy_head(e, head);
 	set_deadline(e, meta.deadline_ms);
 	exchange_refuse_late_arrival(e);
 	e->request.id = e->id;
 	e->request.method = e->method;
 	e->request.head = e->head;
 	e->request.body = e->body;
+	e->request.workspace = e->workspace ? e->workspace->name : NULL;
 	e->request.deadline_ms = e->deadline_ms;
 	if (!e->refusal_status &&
 	    proxy->buffered_body_bytes + (uint64_t)MAX(head->content_length, 0) >
@@ -265,11 +276,12 @@
 	if (!e)
 		return;
 	log_info("request",
-		 "%s request=%s route=%s sends=%u sent=%d server=%s "
-		 "took_ms=%" PRId64,
+		 "%s request=%s route=%s workspace=%s sends=%u sent=%d "
+		 "server=%s took_ms=%" PRId64,
 		 e->proxy->exiting ? "request given up at exit"
 				   : "caller closed the connection",
-		 e->id, e->route ? e->route->name : "-", e->send_count,
+		 e->id, e->route ? e->route->name : "-",
+		 e->workspace ? e->workspace->name : "-", e->send_count,
 		 e->attempt && attempt_was_sent(e->attempt),
 		 e->attempt ? attempt_server(e->attempt)->id : "-",
 		 proxy_now_ms(e->proxy) - e->started_ms);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -5,6 +5,7 @@
 #include "request/attempt.h"
 #include "request/caller.h"
 #include "request/exchange.h"
+#include "workspace/keys.h"
 
 /** @file Declarations shared by the source files of an exchange. */
 
@@ -23,6 +24,7 @@
 	const struct route *route;
 	const struct service *service;
 	const struct workspace *workspace; /* of its key; NULL: none */
+	struct workspace_key_hash key;	   /* valid with a workspace */
 	char *id;
 	char *method;
 	uint64_t object_hash;
@@ -30,6 +32,9 @@
 	uint64_t fingerprint;
 	bool has_object; /* the request names the object it refers to */
 	struct evbuffer *head;
+	/* for another entry VM, with the caller's key; NULL: no route of the
+	 * configuration has large bodies, or the request is refused */
+	struct evbuffer *handoff_head;
 	struct evbuffer *body;
 	uint64_t body_bytes_max;
 	struct attempt_request request;
--- a/src/request/exchange_match.c
+++ b/src/request/exchange_match.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "request/exchange_internal.h"
+#include "workspace/authenticate.h"
 
 void exchange_set_refusal(struct exchange *e, uint16_t status, const char *reason)
 {
@@ -30,6 +31,23 @@
 	return count == 1;
 }
 
+/* @return whether the request may use its route. */
+static bool find_workspace(struct exchange *e, const struct http_head *head)
+{
+	struct authentication found;
+
+	if (!e->config->has_workspaces)
+		return true;
+	found = authenticate(e->config, head);
+	e->workspace = found.workspace;
+	e->key = found.key;
+	if (found.workspace ||
+	    (e->route->allows_anonymous && !found.is_ambiguous))
+		return true;
+	exchange_set_refusal(e, 401, found.problem);
+	return false;
+}
+
 void exchange_match_route(struct exchange *e, const struct http_head *head)
 {
 	char host[256];
@@ -51,6 +69,8 @@
 	e->service = config_select_route_part(e->route,
 					      XXH3_64bits(e->id, strlen(e->id)))
 			     ->service;
+	if (!find_workspace(e, head))
+		return;
 	e->body_bytes_max = e->config->limits.body_bytes_max;
 	if (head->content_length > (int64_t)e->body_bytes_max)
 		exchange_set_refusal(e, 413, "body-too-large");
--- a/src/request/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -28,6 +28,8 @@
 	config_unref(e->config);
 	event_free(e->timer);
 	evbuffer_free(e->head);
+	if (e->handoff_head)
+		evbuffer_free(e->handoff_head);
 	evbuffer_free(e->body);
 	free(e->id);
 	free(e->method);
@@ -38,10 +40,11 @@
 			 const char *reason)
 {
 	log_info("request",
-		 "request answered request=%s route=%s "
+		 "request answered request=%s route=%s workspace=%s "
 		 "version=%08" PRIx64 " status=%u why=%s verdict=%s sends=%u "
 		 "took_ms=%" PRId64 " server=%s",
 		 e->id, e->route ? e->route->name : "-",
+		 e->workspace ? e->workspace->name : "-",
 		 e->config ? e->config->version : 0, status, reason,
 		 verdict_text(e->worst_verdict), e->send_count,
 		 proxy_now_ms(e->proxy) - e->started_ms,
@@ -81,6 +84,10 @@
 		    1);
 	if (e->id[0])
 		response_headers_encode(headers, e->id);
+	if (status == 401) {
+		counter_add(COUNTER_REFUSED_KEY, 1);
+		response_key_challenge_encode(headers);
+	}
 	if (status == 503 || status == 429)
 		evbuffer_add_printf(headers, "Retry-After: %u.%03u\r\n",
 				    delay_ms / (uint32_t)MS_PER_S,
--- a/src/request/headers.c
+++ b/src/request/headers.c
@@ -24,19 +24,50 @@
 	return !http_head_has_token(head, "Connection", name);
 }
 
-void headers_copy_request(const struct http_head *head, struct evbuffer *out)
+static void copy_request_line(const struct http_head *head, struct evbuffer *out)
 {
-	uint32_t i;
-
 	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", head->method,
 			    head->target);
+}
+
+static void copy_header(const struct http_header *header, struct evbuffer *out)
+{
+	evbuffer_add_printf(out, "%s: %s\r\n", header->name, header->value);
+}
+
+void headers_copy_request(const struct http_head *head, bool has_workspaces,
+			  struct evbuffer *out)
+{
+	uint32_t i;
+
+	copy_request_line(head, out);
 	for (i = 0; i < head->header_count; i++) {
 		const struct http_header *header = &head->headers[i];
 
+		if (has_workspaces &&
+		    (request_header_has_key(header->name) ||
+		     request_header_names_workspace(header->name)))
+			continue;
 		if (is_forwarded(head, header->name) &&
 		    !request_header_is_set_by_proxy(header->name))
-			evbuffer_add_printf(out, "%s: %s\r\n", header->name,
-					    header->value);
+			copy_header(header, out);
+	}
+}
+
+void headers_copy_request_for_vm(const struct http_head *head,
+				 struct evbuffer *out)
+{
+	uint32_t i;
+
+	copy_request_line(head, out);
+	for (i = 0; i < head->header_count; i++) {
+		const struct http_header *header = &head->headers[i];
+
+		/* a key named in Connection is valid here, and so it is there */
+		if (request_header_has_key(header->name) ||
+		    (is_forwarded(head, header->name) &&
+		     !request_header_is_set_by_proxy(header->name)))
+			copy_header(header, out);
 	}
 }
 
@@ -48,7 +79,6 @@
 		const struct http_header *header = &head->headers[i];
 
 		if (is_forwarded(head, header->name))
-			evbuffer_add_printf(out, "%s: %s\r\n", header->name,
-					    header->value);
+			copy_header(header, out);
 	}
 }
