fix(http): only a status of three digits from 200 to 599 is a response

**Problem** A server in trouble sent 600 and 999 with a valid stamp, and callers got them: the parser accepts every number up to 999 with any number of digits, and nothing behind it looked at the range.

**Solution** `net/status_line` validates the status by its text; another one ends the connection as a malformed message, which gives an order 502 and has a read sent elsewhere. `decide/outcome` treats such a status as invalid too. Interim responses have no body, whatever their headers say.

--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -3,6 +3,8 @@
 #include "base/attributes.h"
 
 enum {
+	STATUS_FIRST = 200, /* of final responses */
+	STATUS_LAST = 599,
 	STATUS_REQUEST_TIMEOUT = 408,
 	STATUS_OTHER_SERVER = 421,
 	STATUS_TOO_MANY_REQUESTS = 429,
@@ -14,6 +16,8 @@
 
 enum attempt_end outcome_of_response(const struct response_facts *facts)
 {
+	if (facts->status < STATUS_FIRST || facts->status > STATUS_LAST)
+		return ATTEMPT_INVALID;
 	if (facts->status == STATUS_OTHER_SERVER)
 		return ATTEMPT_OTHER_SERVER;
 	if (facts->not_run)
--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "net/linger.h"
+#include "net/status_line.h"
 #include "net/tcp.h"
 
 /* Limit on buffered input that is not parsed yet. */
@@ -33,6 +34,7 @@
 	void *context;
 	uint32_t head_bytes_max;
 	uint32_t head_bytes;
+	struct status_line status_line; /* responses only */
 	struct evbuffer *text; /* target, header names and values, each with a NUL */
 	uint32_t target_offset;
 	struct header_offsets offsets[HEADERS_MAX];
@@ -146,6 +148,11 @@
 	}
 }
 
+static bool is_interim(const struct http_stream *s)
+{
+	return s->role == HTTP_ROLE_CLIENT && s->head.status < 200;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct http_stream *s = parser->data;
@@ -158,12 +165,16 @@
 		s->too_large = true;
 		return -1;
 	}
+	if (s->role == HTTP_ROLE_CLIENT && !status_line_is_valid(&s->status_line))
+		return -1;
 	build_head(s);
 	s->in_head = false;
 	parser->upgrade = 0;
-	/* interim (1xx) responses are skipped; the final one follows */
-	if (s->role == HTTP_ROLE_SERVER || s->head.status >= 200)
-		s->events->head(s->context, &s->head);
+	/* interim (1xx) responses are skipped and have no body, whatever their
+	 * headers; the final one follows */
+	if (is_interim(s))
+		return 1;
+	s->events->head(s->context, &s->head);
 	if (s->freed)
 		return -1;
 	return s->no_body ? 1 : 0;
@@ -185,12 +196,14 @@
 	if (s->freed)
 		return -1;
 	s->message_begun = false;
-	if (s->role == HTTP_ROLE_CLIENT && s->head.status < 200)
+	s->status_line.bytes = 0;
+	/* after an interim response, parse_input() goes on with the next one */
+	http_parser_pause(parser, 1);
+	if (is_interim(s))
 		return 0;
 	s->paused = true;
 	s->completed = true;
 	s->no_body = false;
-	http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -244,6 +257,7 @@
 {
 	struct evbuffer *input = bufferevent_get_input(s->bev);
 	enum http_errno error;
+	const char *data;
 	size_t bytes;
 	size_t parsed;
 
@@ -251,10 +265,10 @@
 		bytes = evbuffer_get_contiguous_space(input);
 		if (!bytes)
 			return;
-		parsed = http_parser_execute(
-			&s->parser, &parser_settings,
-			(const char *)evbuffer_pullup(input, (ssize_t)bytes),
-			bytes);
+		data = (const char *)evbuffer_pullup(input, (ssize_t)bytes);
+		status_line_add(&s->status_line, data, bytes);
+		parsed = http_parser_execute(&s->parser, &parser_settings, data,
+					     bytes);
 		if (s->freed)
 			return;
 		evbuffer_drain(input, parsed);
@@ -269,6 +283,8 @@
 			report_end(s, HTTP_END_INVALID);
 			return;
 		}
+		if (error == HPE_PAUSED && !s->paused)
+			http_parser_pause(&s->parser, 0);
 		report_complete(s);
 	}
 }
--- a/test/unit/decide/outcome_test.c
+++ b/test/unit/decide/outcome_test.c
@@ -28,6 +28,21 @@
 	g_assert_cmpint(end_of(503, false, false, false), ==, ATTEMPT_INVALID);
 }
 
+/* Servers in trouble sent 600 and 999 with a valid stamp. */
+static void statuses_out_of_range_are_invalid(void)
+{
+	static const uint16_t statuses[] = { 0, 42, 100, 199, 600, 999, 65535 };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(statuses); i++) {
+		g_assert_cmpint(end_of(statuses[i], true, false, false), ==,
+				ATTEMPT_INVALID);
+		g_assert_cmpint(end_of(statuses[i], true, true, false), ==,
+				ATTEMPT_INVALID);
+	}
+	g_assert_cmpint(end_of(599, true, false, false), ==, ATTEMPT_FAILED);
+}
+
 /* NOT_RUN is proven only if the server states it or no byte was sent. */
 static void not_run_needs_proof(void)
 {
@@ -64,6 +79,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("outcome", classifies_responses);
 	ADD_TEST("outcome", unstamped_and_encoded_responses_are_invalid);
+	ADD_TEST("outcome", statuses_out_of_range_are_invalid);
 	ADD_TEST("outcome", not_run_needs_proof);
 	ADD_TEST("outcome", status_matches_verdict);
 	return g_test_run();
--- a/test/unit/net/http_stream_test.c
+++ b/test/unit/net/http_stream_test.c
@@ -354,6 +354,30 @@
 	close_peer(&peer);
 }
 
+/* Guards against a final response of which a part is taken for the body of an
+ * interim one, and against its status being read from the interim one. */
+static void interim_responses_have_no_body(void)
+{
+	struct peer peer;
+
+	read_response("HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n"
+		      "HTTP/1.1 100 Continue\r\n\r\n"
+		      "HTTP/1.1 201 OK\r\nContent-Length: 2\r\n\r\nok",
+		      &peer, false);
+	g_assert_cmpuint(peer.heads, ==, 1);
+	g_assert_cmpuint(peer.status, ==, 201);
+	g_assert_cmpuint(peer.completes, ==, 1);
+	g_assert_cmpstr(peer.body->str, ==, "ok");
+	close_peer(&peer);
+	read_response("HTTP/1.1 100 Continue\r\n\r\n"
+		      "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok",
+		      &peer, false);
+	g_assert_cmpuint(peer.heads, ==, 0);
+	g_assert_true(peer.ended);
+	g_assert_cmpint(peer.end, ==, HTTP_END_INVALID);
+	close_peer(&peer);
+}
+
 static void header_names_are_case_insensitive(void)
 {
 	struct http_header headers[] = { { "connection", "Keep-Alive, X-Hop" } };
@@ -422,6 +446,7 @@
 	ADD_TEST("http_stream", truncated_responses_are_not_complete);
 	ADD_TEST("http_stream", unexpected_response_bytes_end_the_stream);
 	ADD_TEST("http_stream", interim_responses_are_skipped);
+	ADD_TEST("http_stream", interim_responses_have_no_body);
 	ADD_TEST("http_stream", header_names_are_case_insensitive);
 	ADD_TEST("http_stream", unsent_output_of_a_closing_connection_is_counted);
 	ADD_TEST("http_stream", closed_connection_is_no_longer_counted);
--- a/test/unit/request/attempt_test.c
+++ b/test/unit/request/attempt_test.c
@@ -187,6 +187,91 @@
 	}
 }
 
+/* Servers in trouble sent such statuses, and callers got 600 and 999. */
+static const char *const invalid_statuses[] = {
+	"600", "999", "000",  "042", "099", "101", "1000", "+200",
+	"2OO", "20",  "0200", "-1",  "2",   "",	   "5990",
+};
+
+static char *new_stamped_response(const char *status)
+{
+	return g_strdup_printf("HTTP/1.1 %s OK\r\nRequest-Id: r1\r\n"
+			       "Response-Stamp: a.b\r\n"
+			       "Content-Length: 2\r\n\r\nok",
+			       status);
+}
+
+static void order_with_an_invalid_status_gets_502(void)
+{
+	char *text;
+	size_t i;
+	int status;
+
+	for (i = 0; i < G_N_ELEMENTS(invalid_statuses); i++) {
+		text = new_stamped_response(invalid_statuses[i]);
+		setup_faulty(text, text, false);
+		status = send_and_take_status();
+		if (status != 502)
+			g_error("status \"%s\" gives %d", invalid_statuses[i],
+				status);
+		g_assert_cmpuint(faulty.requests, ==, 1);
+		teardown_faulty();
+		g_free(text);
+	}
+}
+
+/* Also guards against a status that is rejected though it is valid. */
+static void valid_statuses_are_forwarded(void)
+{
+	static const int statuses[] = { 200, 204, 299, 302, 404, 500, 599 };
+	char number[8];
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		g_snprintf(number, sizeof(number), "%d", statuses[i]);
+		text = new_stamped_response(number);
+		setup_faulty(text, text, false);
+		g_assert_cmpint(send_and_take_status(), ==, statuses[i]);
+		teardown_faulty();
+		g_free(text);
+	}
+}
+
+static void read_with_an_invalid_status_is_retried_elsewhere(void)
+{
+	struct server_entry entry = {
+		.id = (char *)"s3",
+		.service = (char *)"reg",
+		.failure_domain = (char *)"fyn-a",
+		.version = (char *)"v1",
+		.slots = 4,
+	};
+	struct server *s2;
+	struct server *s3;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(invalid_statuses); i++) {
+		text = new_stamped_response(invalid_statuses[i]);
+		setup_faulty(text, text, true);
+		proxy.bounds.retry_extra = 10;
+		proxy.bounds.retry_window_ms = 1000;
+		s2 = servers_find(proxy.servers, "s2");
+		entry.address = s2->address;
+		servers_put(proxy.servers, &entry);
+		g_assert_cmpint(send_and_take_status(), ==, 200);
+		g_assert_cmpuint(faulty.requests, ==, 2);
+		s3 = servers_find(proxy.servers, "s3");
+		while (s2->idle)
+			pool_discard(s2->idle);
+		while (s3->idle)
+			pool_discard(s3->idle);
+		teardown_faulty();
+		g_free(text);
+	}
+}
+
 /* Sends an order with a body that the kernel's buffers cannot hold. */
 static int send_large_order(void)
 {
@@ -259,6 +344,9 @@
 	ADD_TEST("attempt", refusal_with_an_id_keeps_the_connection);
 	ADD_TEST("attempt", response_cut_in_its_head_is_no_success);
 	ADD_TEST("attempt", refusal_without_proof_is_not_passed_on);
+	ADD_TEST("attempt", order_with_an_invalid_status_gets_502);
+	ADD_TEST("attempt", valid_statuses_are_forwarded);
+	ADD_TEST("attempt", read_with_an_invalid_status_is_retried_elsewhere);
 	ADD_TEST("attempt", body_that_is_read_late_ends_no_request);
 	return g_test_run();
 }
