feat(load): decode the service time that servers report

**Problem** Some servers take 2.5 times as long for about 600 ms and say so in an optional fourth figure of Backend-Load, which was not read.

**Solution** The figure is decoded (0 and other texts: absent; bounded to 10 to 1,000) and kept with its time. `load_work_percent()` gives 100 if it is unknown or older than 300 ms. Nothing uses it yet.

**Result** load_header and load tests pass.

--- a/src/decide/load.c
+++ b/src/decide/load.c
@@ -27,6 +27,21 @@
 	load->reported_ms = now_ms;
 }
 
+void load_record_work_percent(struct load_view *load, uint32_t percent,
+			      int64_t now_ms)
+{
+	load->work_percent = percent;
+	load->work_reported_ms = now_ms;
+}
+
+uint32_t load_work_percent(const struct load_view *load, int64_t now_ms)
+{
+	if (!load->work_reported_ms || !load->work_percent ||
+	    now_ms - load->work_reported_ms > LOAD_WORK_AGE_MAX_MS)
+		return LOAD_WORK_PERCENT_USUAL;
+	return load->work_percent;
+}
+
 uint32_t load_max_own_requests(uint32_t slots, uint32_t vms)
 {
 	const uint32_t all = OWN_SHARE_FACTOR * slots;
--- a/src/decide/load.h
+++ b/src/decide/load.h
@@ -17,15 +17,29 @@
 	uint32_t running;		 /**< last reported */
 	uint32_t waiting;		 /**< last reported */
 	int64_t reported_ms;		 /**< 0: no report yet */
+	uint32_t work_percent;	  /**< last reported, see load_work_percent() */
+	int64_t work_reported_ms; /**< 0: no report yet */
 };
 
 /** Age from which a load report is ignored. */
 #define LOAD_REPORT_AGE_MAX_MS 3000
+/** Age from which a reported service time is ignored. Load pattern: at some
+ * servers requests take 2.5 times as long, for about 600 ms. */
+#define LOAD_WORK_AGE_MAX_MS 300
+/** Service time as usual. */
+#define LOAD_WORK_PERCENT_USUAL 100
 
 void load_record_sent(struct load_view *load);
 void load_record_finished(struct load_view *load);
 void load_record_report(struct load_view *load, uint32_t running,
 			uint32_t waiting, int64_t now_ms);
+/** @param percent of the usual service time. */
+void load_record_work_percent(struct load_view *load, uint32_t percent,
+			      int64_t now_ms);
+
+/** @return the service time in percent of the usual one,
+ * LOAD_WORK_PERCENT_USUAL if it is not known. */
+uint32_t load_work_percent(const struct load_view *load, int64_t now_ms);
 
 /**
  * Limits the requests in progress that one entry VM may have on a server. Load
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -168,6 +168,9 @@
 	else if (a->meta.not_run && a->status == 503)
 		load_record_report(&server->load, server->load.slots,
 				   server->load.slots, now_ms);
+	if (a->meta.has_work_percent)
+		load_record_work_percent(&server->load, a->meta.work_percent,
+					 now_ms);
 	if (a->meta.not_run && a->status == 503 && a->meta.retry_after_ms)
 		server_record_busy(server, a->meta.retry_after_ms, now_ms);
 	if (a->meta.leaving)
--- a/src/request/message_defs.h
+++ b/src/request/message_defs.h
@@ -24,6 +24,8 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	bool has_work_percent; /**< of the service time; part of the load */
+	uint32_t work_percent; /**< 100: as usual; more: slower */
 	bool has_cold;
 	uint32_t cold_left_ms;
 	uint32_t idle_timeout_ms; /**< of this connection; 0: not given */
--- a/test/unit/decide/load_test.c
+++ b/test/unit/decide/load_test.c
@@ -69,6 +69,24 @@
 	g_assert_cmpuint(load_max_own_requests(9, 8), ==, 6);
 }
 
+/* Load pattern: one server in seven is slow at a time, for about 600 ms. An
+ * old report tells nothing of the next request. */
+static void work_percent_is_known_for_a_moment(void)
+{
+	struct load_view load = { .slots = 3 };
+
+	g_assert_cmpuint(load_work_percent(&load, 1000), ==, 100);
+	load_record_work_percent(&load, 250, 1000);
+	g_assert_cmpuint(load_work_percent(&load, 1000), ==, 250);
+	g_assert_cmpuint(load_work_percent(&load, 1300), ==, 250);
+	g_assert_cmpuint(load_work_percent(&load, 1301), ==, 100);
+	/* a report without the figure does not renew it */
+	load_record_report(&load, 1, 0, 1400);
+	g_assert_cmpuint(load_work_percent(&load, 1400), ==, 100);
+	load_record_work_percent(&load, 90, 1500);
+	g_assert_cmpuint(load_work_percent(&load, 1500), ==, 90);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -77,5 +95,6 @@
 	ADD_TEST("load", discounts_old_reports);
 	ADD_TEST("load", false_report_does_not_hide_own_requests);
 	ADD_TEST("load", bounds_requests_of_many_vms);
+	ADD_TEST("load", work_percent_is_known_for_a_moment);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/unit/platform/load_header_test.c
@@ -0,0 +1,64 @@
+#include "platform/header_codec.h"
+#include "unit/test.h"
+
+static struct response_meta decode(const char *load)
+{
+	struct http_header headers[] = { { "Backend-Load", load } };
+	struct http_head head = {
+		.status = 200,
+		.headers = headers,
+		.header_count = 1,
+	};
+
+	return response_meta_decode(&head);
+}
+
+static void optional_fourth_figure_is_decoded(void)
+{
+	struct response_meta meta = decode("3,1,8,250");
+
+	g_assert_true(meta.has_load);
+	g_assert_cmpuint(meta.slots, ==, 8);
+	g_assert_true(meta.has_work_percent);
+	g_assert_cmpuint(meta.work_percent, ==, 250);
+	meta = decode("3,1,8, 90 ");
+	g_assert_cmpuint(meta.work_percent, ==, 90);
+	meta = decode("3,1,8");
+	g_assert_true(meta.has_load);
+	g_assert_false(meta.has_work_percent);
+}
+
+/* Guards against a faulty server that gets no requests, or all of them, by one
+ * figure. The load itself is kept as before. */
+static void odd_percents_are_ignored_or_bounded(void)
+{
+	static const char *const odd[] = {
+		"3,1,8,",   "3,1,8,0",	   "3,1,8,-5",	"3,1,8,+5",
+		"3,1,8,x",  "3,1,8,100,7", "3,1,8,1e9", "3,1,8,90%",
+		"3,1,8;90", "3,1,8,nan",
+	};
+	struct response_meta meta;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(odd); i++) {
+		meta = decode(odd[i]);
+		g_assert_true(meta.has_load);
+		g_assert_cmpuint(meta.running, ==, 3);
+		if (meta.has_work_percent)
+			g_error("accepted: %s", odd[i]);
+	}
+	g_assert_cmpuint(decode("3,1,8,1").work_percent, ==, 10);
+	g_assert_cmpuint(decode("3,1,8,99999999999999999999").work_percent, ==,
+			 1000);
+	meta = decode("3,1");
+	g_assert_false(meta.has_load);
+	g_assert_false(meta.has_work_percent);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("load_header", optional_fourth_figure_is_decoded);
+	ADD_TEST("load_header", odd_percents_are_ignored_or_bounded);
+	return g_test_run();
+}
