feat(request): refuse requests whose key was removed before they are sent

**Problem** A request that waits in this VM (behind an order of its connection, or for a retry) kept the configuration with which it came, and was sent long after a newer one had removed its key.

**Solution** The hash of its key is looked up in the newest configuration immediately before each time it is sent. On a route that allows anonymous requests it is sent without a workspace.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -449,6 +449,8 @@
 	struct server *server;
 
 	limit_deadline_to_exit(e);
+	if (exchange_refuse_removed_key(e))
+		return;
 	if (handoff_start(e))
 		return;
 	server = exchange_select_server(e, retry_reason, &refusal);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -72,6 +72,14 @@
 void exchange_match_route(struct exchange *exchange,
 			  const struct http_head *head);
 
+/**
+ * Refuses a request whose key a newer configuration has removed. To be called
+ * immediately before each time the request is sent.
+ *
+ * @return whether the request was refused, which frees the exchange.
+ */
+bool exchange_refuse_removed_key(struct exchange *exchange);
+
 /** Refuses a request that arrives too late in a graceful shutdown. */
 void exchange_refuse_late_arrival(struct exchange *exchange);
 
--- a/src/request/exchange_match.c
+++ b/src/request/exchange_match.c
@@ -76,6 +76,26 @@
 		exchange_set_refusal(e, 413, "body-too-large");
 }
 
+bool exchange_refuse_removed_key(struct exchange *e)
+{
+	const struct config *newest = e->proxy->config;
+
+	if (!e->workspace || newest == e->config || !newest->has_workspaces ||
+	    workspace_keys_find(newest->keys, e->key) >= 0)
+		return false;
+	if (e->route->allows_anonymous) {
+		e->workspace = NULL;
+		e->request.workspace = NULL;
+		return false;
+	}
+	exchange_fail(e,
+		      e->worst_verdict == VERDICT_NOT_RUN
+			      ? 401
+			      : outcome_http_status(e->worst_verdict, false),
+		      "key-removed");
+	return true;
+}
+
 /* Late in a graceful shutdown, other VMs have more time for a new request. One
  * that may outlast this process could be given up while a server runs it. */
 void exchange_refuse_late_arrival(struct exchange *e)
