feat(decide): choose regions by demand and slots while VMs are assigned

**Problem**: a region's utilization was held at 0.45 of its slots, and queues at single servers were taken for a full region: regions at 25% utilization sent 20 to 45% of their objects away, a region with a tenth of the slots 65 to 75%. **Solution**: while VMs are assigned to servers, decide/region_share compares the region's demand in slots, by route, with 0.75 of its slots. Other regions are assumed to have the same demand, corrected by refusals and late responses. Routes with the most room for the crossing leave first, large bodies last. Shares rise with the demand and fall to what the peak of the last two periods of 36 s needs; they move by at most 0.2 of the bound on shifts a second, at once if servers are lost. Weighted rendezvous by spare slots gives each object its region. Requests with home regions run in these and are not counted.

--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "decide/object_cache.h"
+#include "decide/region_share.h"
 #include "decide/retry_share.h"
 #include "decide/service_time.h"
 #include "decide/spillover.h"
@@ -39,6 +40,9 @@
 struct service_state {
 	struct retry_share retries;
 	struct spillover spillover;
+	/** Used instead of `spillover` while VMs are assigned to servers. */
+	struct region_share region_share;
+	double logged_share; /**< of `region_share`, last logged */
 	struct service_time time;
 };
 
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "assign/assignment.h"
 #include "base/build.h"
 #include "base/log.h"
 #include "sync/reach_watch.h"
@@ -57,6 +58,28 @@
 	return limited.list;
 }
 
+/* While VMs are assigned to servers: what leaves this VM's region. */
+static json_t *encode_regions(const struct proxy *proxy)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxy->service_states);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct service_state *state = value;
+		const struct region_share *share = &state->region_share;
+
+		json_array_append_new(
+			list, json_pack("{s:s,s:f,s:f,s:I}", "service", name,
+					"away_share", region_share_total(share),
+					"demand_slots", share->demand, "slots",
+					(json_int_t)share->local_slots));
+	}
+	return list;
+}
+
 void status_write(const struct proxy *proxy, struct evbuffer *out)
 {
 	const struct config *config = proxy->config;
@@ -82,6 +105,8 @@
 			 reach_watch_is_cut_off(proxy->reach), "build",
 			 build_commit(), "vms", encode_vms(proxy),
 			 "servers_limited", encode_limited(proxy));
+	if (root && assignment_is_on(proxy->assignment))
+		json_object_set_new(root, "services", encode_regions(proxy));
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
 		evbuffer_add(out, text, strlen(text));
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -376,6 +376,9 @@
 	struct server *server = attempt_server(a);
 
 	histogram_add(HISTOGRAM_ATTEMPT, attempt_elapsed_ms(a));
+	if (end == ATTEMPT_ANSWERED || end == ATTEMPT_REFUSED)
+		exchange_record_region_end(e, server->region,
+					   end == ATTEMPT_REFUSED);
 	record_outcome(e, server, end);
 	if (end == ATTEMPT_ANSWERED)
 		record_response(e, server, attempt_elapsed_ms(a));
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -80,6 +80,22 @@
 /** Decides whether the request should run in this region or in another. */
 void exchange_choose_region(struct exchange *exchange);
 
+/** Records how a request ended that ran, or was to run, in a region.
+ *
+ * @param refused for lack of room. */
+void exchange_record_region_end(const struct exchange *exchange,
+				const char *region, bool refused);
+
+/**
+ * Records how a request ended that was handed off to a VM of its region. A VM
+ * that hands everything off learns the service times from this alone.
+ *
+ * @param refused for lack of room.
+ * @param rtt_ms round trip to the other VM; 0: unknown.
+ */
+void exchange_record_handoff(const struct exchange *exchange, bool refused,
+			     int64_t elapsed_ms, uint32_t rtt_ms);
+
 /**
  * Selects a server for the request and records it as tried.
  *
--- a/src/request/exchange_place.c
+++ b/src/request/exchange_place.c
@@ -23,11 +23,6 @@
 /* Share of the time until this process exits that a request accepted during
  * shutdown may be expected to need. */
 #define SHUTDOWN_TIME_SHARE 0.8
-/* Reported queue lengths are ignored after this time. */
-#define REPORT_FRESH_MS 1000
-/* Share of the bound on a region's shift used per second; the bound applies to
- * windows of two seconds. */
-#define SHIFT_SHARE_PER_S 0.2
 
 /* Static because all selections run on the event loop's only thread. */
 static struct place_candidate candidates[CANDIDATES_MAX];
@@ -148,54 +143,6 @@
 				      server->failure_domain);
 }
 
-static void add_to_view(const struct proxy *proxy, const struct server *server,
-			struct spillover_view *view, int64_t now_ms)
-{
-	const uint32_t slots = server_limits_usable_slots(server, view->fast_ms);
-
-	if (!server_is_usable(server) || server->cold_until_ms > now_ms ||
-	    g_hash_table_contains(proxy->evacuated, server->failure_domain))
-		return;
-	if (server->region != proxy->region) {
-		view->remote_slots += slots;
-		view->remote_load += load_estimate(&server->load, now_ms);
-		return;
-	}
-	view->local_slots += server->load.slots;
-	view->local_unused_slots += server->load.slots - slots;
-	if (now_ms - server->load.reported_ms < REPORT_FRESH_MS)
-		view->local_waiting += server->load.waiting;
-}
-
-void exchange_choose_region(struct exchange *e)
-{
-	const struct proxy *proxy = e->proxy;
-	const GPtrArray *list =
-		servers_for_service(proxy->servers, e->service->name);
-	struct service_state *state = exchange_service_state(e);
-	int64_t now_ms = proxy_now_ms(proxy);
-	struct spillover_view view = {
-		.region_vms =
-			MAX(vms_count_in_region(proxy->vms, proxy->region), 1),
-		.domain_share =
-			topology_region_share(&proxy->topology, proxy->region),
-		.fast_ms = state->time.fast_ms,
-		.uneven = e->route->sticky,
-	};
-	guint i;
-
-	/* the spillover share belongs to the service: a route restricted to
-	 * some regions is not counted */
-	if (e->route->home_region_count)
-		return;
-	for (i = 0; i < list->len; i++)
-		add_to_view(proxy, g_ptr_array_index(list, i), &view, now_ms);
-	spillover_count_request(&state->spillover, &view,
-				proxy->bounds.shift_max * SHIFT_SHARE_PER_S,
-				now_ms);
-	e->spilled_over = spillover_is_remote(&state->spillover, e->object_hash);
-}
-
 static uint32_t ms_until(int64_t until_ms, int64_t now_ms)
 {
 	return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
--- /dev/null
+++ b/test/unit/fake_assignment.h
@@ -0,0 +1,33 @@
+#ifndef TEST_UNIT_FAKE_ASSIGNMENT_H
+#define TEST_UNIT_FAKE_ASSIGNMENT_H
+
+#include "assign/assignment.h"
+
+/**
+ * @file
+ * Stands in for the assignment of servers to VMs in programs that are linked
+ * with --wrap for these functions: the test says what they return.
+ */
+
+static bool fake_assignment_on;
+static bool fake_assignment_own;
+
+bool __wrap_assignment_is_on(const struct assignment *assignment);
+bool __wrap_assignment_is_own_server(struct assignment *assignment,
+				     const struct server *server);
+
+bool __wrap_assignment_is_on(const struct assignment *assignment)
+{
+	(void)assignment;
+	return fake_assignment_on;
+}
+
+bool __wrap_assignment_is_own_server(struct assignment *assignment,
+				     const struct server *server)
+{
+	(void)assignment;
+	(void)server;
+	return fake_assignment_own;
+}
+
+#endif
