feat(decide): pace requests to servers that have started or recovered

**Problem**: a server that has just started or recovered got requests for all its slots at once; it has nothing cached and runs slowly, so most responses were late. **Solution**: decide/ramp keeps a window of requests in progress: 1 at first, one more for each response as fast as usual for its route and case (cached or not), halved at most once for the requests of a window by a refusal, a failure or a response over twice the usual time. It begins when a server is listed during traffic, is cold, failed or asked for a pause, and again when the cold time or the pause ends. Until then it is half the slots at most.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -65,6 +65,11 @@
 	[COUNTER_UNREADABLE_ENTRIES] = { "unreadable_entries",
 					 "values in the store that could not be "
 					 "read, each time" },
+	[COUNTER_RAMPS_ENDED] = { "ramps_ended",
+				  "servers that got all slots after a start or "
+				  "recovery" },
+	[COUNTER_RAMP_HALVINGS] = { "ramp_halvings",
+				    "windows of such servers that were halved" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
--- a/src/decide/ramp.c
+++ b/src/decide/ramp.c
@@ -1,9 +1,68 @@
 #include "decide/ramp.h"
 
-void ramp_begin(struct ramp *ramp)
+/* A response is as fast as usual up to this ratio to the usual time. */
+#define USUAL_RATIO 1.3
+/* Above this ratio, the server has more than it can run. */
+#define LATE_RATIO 2
+
+void ramp_begin(struct ramp *ramp, int64_t now_ms, int64_t again_ms)
+{
+	const struct ramp begun = {
+		.active = true,
+		.window = 1,
+		.began_ms = now_ms,
+		.again_ms = again_ms > now_ms ? again_ms : 0,
+	};
+
+	*ramp = begun;
+}
+
+enum ramp_result ramp_judge(int64_t elapsed_ms, double usual_ms)
+{
+	if ((double)elapsed_ms > LATE_RATIO * usual_ms)
+		return RAMP_LATE;
+	return (double)elapsed_ms > USUAL_RATIO * usual_ms ? RAMP_SLOWER
+							   : RAMP_USUAL;
+}
+
+/* Until it begins again, a ramp does not end: the limit that holds until then
+ * would be followed by requests for all slots. */
+static double window_max(const struct ramp *ramp, uint32_t slots)
+{
+	return ramp->again_ms ? (slots + 1) / 2 : slots;
+}
+
+/* The requests that were sent under the larger window say nothing of the
+ * smaller one. */
+static void halve(struct ramp *ramp)
+{
+	ramp->ignored = (uint32_t)ramp->window - 1;
+	ramp->window = ramp->window / 2 < 1 ? 1 : ramp->window / 2;
+	ramp->halvings++;
+}
+
+bool ramp_record(struct ramp *ramp, enum ramp_result result, uint32_t slots,
+		 int64_t now_ms)
 {
-	ramp->active = true;
-	ramp->window = 1;
+	if (!ramp->active)
+		return false;
+	if (ramp->again_ms && now_ms >= ramp->again_ms) {
+		ramp->again_ms = 0;
+		ramp->ignored = (uint32_t)ramp->window - 1;
+		ramp->window = 1;
+	}
+	ramp->responses++;
+	ramp->late += result == RAMP_LATE;
+	if (ramp->ignored) {
+		ramp->ignored--;
+		return false;
+	}
+	if (result >= RAMP_LATE)
+		halve(ramp);
+	else if (result == RAMP_USUAL && ramp->window < window_max(ramp, slots))
+		ramp->window++;
+	ramp->active = ramp->again_ms || ramp->window < slots;
+	return !ramp->active;
 }
 
 uint32_t ramp_window(const struct ramp *ramp, uint32_t slots)
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -160,6 +160,7 @@
 	server->hash = XXH3_64bits(server->id, strlen(server->id));
 	server->start_unix_ms = entry->start_unix_ms;
 	server->listed = true;
+	server->listed_ms = clock_now_ms(servers->clock);
 	server->load.slots = entry->slots;
 	g_hash_table_insert(servers->by_id, server->id, server);
 	g_ptr_array_add(get_or_create_list(servers, server->service), server);
@@ -219,8 +220,10 @@
 			 is_new);
 	server->draining = entry->draining;
 	server->missing = false;
+	if (is_new && servers->logs_changes)
+		ramp_begin(&server->ramp, now_ms, 0);
 	if (entry->cold_left_ms)
-		server->cold_until_ms = now_ms + entry->cold_left_ms;
+		server_record_cold(server, entry->cold_left_ms, now_ms);
 }
 
 void servers_mark_missing(struct servers *servers, const char *id)
@@ -284,7 +287,7 @@
 void servers_mark_cold(struct servers *servers, const char *failure_domain,
 		       uint32_t ms)
 {
-	int64_t until_ms = clock_now_ms(servers->clock) + ms;
+	int64_t now_ms = clock_now_ms(servers->clock);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -293,8 +296,8 @@
 		struct server *server = value;
 
 		if (!strcmp(server->failure_domain, failure_domain) &&
-		    server->cold_until_ms < until_ms)
-			server->cold_until_ms = until_ms;
+		    server->cold_until_ms < now_ms + ms)
+			server_record_cold(server, ms, now_ms);
 	}
 }
 
@@ -330,6 +333,7 @@
 
 	avoid_ms = CLAMP(avoid_ms, min_ms, AVOID_MAX_MS);
 	server->avoid_until_ms = now_ms + avoid_ms;
+	ramp_begin(&server->ramp, now_ms, 0);
 	log_info("servers",
 		 "avoiding server after failures server=%s failures=%u why=%s "
 		 "for_ms=%" PRId64,
@@ -362,8 +366,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct server *server = value;
 
-		if (server->unreachable_ms >= since_ms && server->unreachable_ms)
-			server_record_success(server);
+		if (server->unreachable_ms < since_ms || !server->unreachable_ms)
+			continue;
+		server_record_success(server);
+		if (server->ramp.began_ms >= since_ms)
+			server->ramp.active = false;
 	}
 }
 
@@ -384,9 +391,21 @@
 		 server->id, server->service);
 }
 
+void server_record_cold(struct server *server, uint32_t ms, int64_t now_ms)
+{
+	const bool was_cold = server->cold_until_ms > now_ms;
+
+	server->cold_until_ms = now_ms + ms;
+	if (ms && !was_cold)
+		ramp_begin(&server->ramp, now_ms, server->cold_until_ms);
+	else if (server->ramp.again_ms)
+		server->ramp.again_ms = server->cold_until_ms;
+}
+
 void server_record_busy(struct server *server, uint32_t ms, int64_t now_ms)
 {
 	server->busy_until_ms = MAX(server->busy_until_ms, now_ms + ms);
+	ramp_begin(&server->ramp, now_ms, server->busy_until_ms);
 	log_info("servers", "server wants no requests server=%s for_ms=%u",
 		 server->id, ms);
 }
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "decide/load.h"
+#include "decide/ramp.h"
 #include "decide/sender_rank.h"
 #include "fleet/server_defs.h"
 #include "fleet/server_limit.h"
@@ -35,12 +36,14 @@
 	bool leaving;  /**< it said so in a response; final for this start */
 	bool missing;  /**< absent from the list since an outage of the store */
 	bool address_reused; /**< a different server responds at its address */
+	int64_t listed_ms;   /**< when this VM first read its entry */
 	int64_t cold_until_ms;
 	int64_t busy_until_ms; /**< it wants no request of this VM until then */
 	int64_t cold_sent_ms;  /**< last request sent to it while cold */
 	struct sender_rank rank;  /**< of this VM, see sender_rank_at() */
 	uint64_t rank_generation; /**< of the list of VMs that it is from */
 	struct load_view load;
+	struct ramp ramp; /**< followed while VMs are assigned to servers */
 	struct server_limit limit;
 	uint32_t rtt_ms; /**< estimated round-trip time; 0: unknown */
 	uint32_t consecutive_failures; /**< reset by a success */
@@ -114,6 +117,8 @@
 void server_record_slow_response(struct server *server, int64_t now_ms);
 /** Records that the server reported in a response that it will exit. */
 void server_record_leaving(struct server *server);
+/** Records that the server is cold for the next `ms`, or warm if 0. */
+void server_record_cold(struct server *server, uint32_t ms, int64_t now_ms);
 /** Records that the server wants no requests for the next `ms`. */
 void server_record_busy(struct server *server, uint32_t ms, int64_t now_ms);
 /** Records a successful attempt, which clears earlier failures. */
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -32,14 +32,14 @@
 	return list;
 }
 
-struct limited_list {
+struct server_list {
 	const struct proxy *proxy;
 	json_t *list;
 };
 
 static void append_limited(struct server *server, void *context)
 {
-	struct limited_list *limited = context;
+	struct server_list *limited = context;
 
 	if (!server_limit_is_named(&server->limit))
 		return;
@@ -52,12 +52,38 @@
 
 static json_t *encode_limited(const struct proxy *proxy)
 {
-	struct limited_list limited = { proxy, json_array() };
+	struct server_list limited = { proxy, json_array() };
 
 	servers_for_each(proxy->servers, append_limited, &limited);
 	return limited.list;
 }
 
+static void append_ramping(struct server *server, void *context)
+{
+	struct server_list *ramping = context;
+	const int64_t now_ms = proxy_now_ms(ramping->proxy);
+
+	if (!server->ramp.active ||
+	    !assignment_is_own_server(ramping->proxy->assignment, server))
+		return;
+	json_array_append_new(
+		ramping->list,
+		json_pack("{s:s,s:I,s:I,s:I}", "server", server->id, "window",
+			  (json_int_t)ramp_window(&server->ramp,
+						  server->load.slots),
+			  "slots", (json_int_t)server->load.slots, "for_ms",
+			  (json_int_t)(now_ms - server->ramp.began_ms)));
+}
+
+/* Servers of this VM that have started or recovered. */
+static json_t *encode_ramping(const struct proxy *proxy)
+{
+	struct server_list ramping = { proxy, json_array() };
+
+	servers_for_each(proxy->servers, append_ramping, &ramping);
+	return ramping.list;
+}
+
 /* While VMs are assigned to servers: what leaves this VM's region. */
 static json_t *encode_regions(const struct proxy *proxy)
 {
@@ -105,8 +131,11 @@
 			 reach_watch_is_cut_off(proxy->reach), "build",
 			 build_commit(), "vms", encode_vms(proxy),
 			 "servers_limited", encode_limited(proxy));
-	if (root && assignment_is_on(proxy->assignment))
+	if (root && assignment_is_on(proxy->assignment)) {
 		json_object_set_new(root, "services", encode_regions(proxy));
+		json_object_set_new(root, "servers_ramping",
+				    encode_ramping(proxy));
+	}
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
 		evbuffer_add(out, text, strlen(text));
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -173,7 +173,7 @@
 	if (a->meta.leaving)
 		server_record_leaving(server);
 	if (a->meta.has_cold)
-		server->cold_until_ms = now_ms + a->meta.cold_left_ms;
+		server_record_cold(server, a->meta.cold_left_ms, now_ms);
 	if (a->status != STATUS_OTHER_SERVER &&
 	    (a->meta.has_limit || a->meta.limit_invalid || is_own_response(a)))
 		server_limits_record_response(a->proxy->limits, server, &a->meta);
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -247,9 +247,13 @@
 		end_late_stream(e);
 		return;
 	}
-	if (e->attempt && attempt_was_sent(e->attempt))
+	if (e->attempt && attempt_was_sent(e->attempt)) {
+		exchange_record_ramp(e, attempt_server(e->attempt),
+				     ATTEMPT_TIMED_OUT,
+				     attempt_elapsed_ms(e->attempt));
 		record_timeout(e, attempt_server(e->attempt),
 			       attempt_elapsed_ms(e->attempt));
+	}
 	counter_add(COUNTER_TIMED_OUT, 1);
 	end_unanswered(e, "time-is-up");
 }
@@ -379,6 +383,7 @@
 	if (end == ATTEMPT_ANSWERED || end == ATTEMPT_REFUSED)
 		exchange_record_region_end(e, server->region,
 					   end == ATTEMPT_REFUSED);
+	exchange_record_ramp(e, server, end, attempt_elapsed_ms(a));
 	record_outcome(e, server, end);
 	if (end == ATTEMPT_ANSWERED)
 		record_response(e, server, attempt_elapsed_ms(a));
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -96,6 +96,10 @@
 void exchange_record_handoff(const struct exchange *exchange, bool refused,
 			     int64_t elapsed_ms, uint32_t rtt_ms);
 
+/** Adjusts the pace of a server that has started or recovered. */
+void exchange_record_ramp(const struct exchange *exchange, struct server *server,
+			  enum attempt_end end, int64_t elapsed_ms);
+
 /**
  * Selects a server for the request and records it as tried.
  *
--- a/test/unit/fleet/servers_test.c
+++ b/test/unit/fleet/servers_test.c
@@ -220,6 +220,74 @@
 	servers_free(servers);
 }
 
+static uint32_t window(const struct server *server)
+{
+	return ramp_window(&server->ramp, server->load.slots);
+}
+
+/* Servers of the first reading of the list run already; later ones start. */
+static void servers_that_start_get_few_requests(void)
+{
+	struct servers *servers = one_server();
+	struct server_entry next = entry("s1", 8);
+
+	g_assert_cmpuint(window(only_server(servers)), ==, 9);
+	servers_log_changes(servers);
+	servers_put(servers, &next);
+	g_assert_cmpuint(window(only_server(servers)), ==, 1);
+	/* a later write of the same start is no start */
+	only_server(servers)->ramp.active = false;
+	next.sequence = 5;
+	servers_put(servers, &next);
+	g_assert_cmpuint(window(only_server(servers)), ==, 9);
+	servers_free(servers);
+}
+
+static void cold_servers_get_few_requests(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only_server(servers);
+	int64_t at_ms = clock_now_ms(&now);
+
+	server_record_cold(server, 0, at_ms);
+	g_assert_cmpuint(window(server), ==, 9);
+	servers_mark_cold(servers, "fyn-a", 5000);
+	g_assert_cmpint(server->cold_until_ms, ==, at_ms + 5000);
+	g_assert_cmpuint(window(server), ==, 1);
+	g_assert_cmpint(server->ramp.again_ms, ==, at_ms + 5000);
+	/* each response of a cold server says how long it is cold still */
+	ramp_record(&server->ramp, RAMP_USUAL, 9, at_ms);
+	server_record_cold(server, 3000, at_ms);
+	g_assert_cmpuint(window(server), ==, 2);
+	g_assert_cmpint(server->ramp.again_ms, ==, at_ms + 3000);
+	/* it is warm earlier than expected */
+	server_record_cold(server, 0, at_ms);
+	ramp_record(&server->ramp, RAMP_USUAL, 9, at_ms + 1);
+	g_assert_cmpuint(window(server), ==, 1);
+	servers_free(servers);
+}
+
+static void servers_that_recover_get_few_requests(void)
+{
+	struct servers *servers = one_server();
+	struct server *server = only_server(servers);
+	int64_t at_ms = clock_now_ms(&now);
+
+	server_record_busy(server, 500, at_ms);
+	g_assert_cmpuint(window(server), ==, 1);
+	g_assert_cmpint(server->ramp.again_ms, ==, at_ms + 500);
+	server->ramp.active = false;
+	server_record_failure(server, "test", at_ms);
+	g_assert_cmpuint(window(server), ==, 9);
+	server_record_failure(server, "test", at_ms);
+	g_assert_cmpuint(window(server), ==, 1);
+	/* the cause was this VM's own network */
+	server_record_unreachable(server, at_ms);
+	servers_forget_unreachable(servers, at_ms);
+	g_assert_cmpuint(window(server), ==, 9);
+	servers_free(servers);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -234,5 +302,8 @@
 	ADD_TEST("servers", server_that_left_does_not_return);
 	ADD_TEST("servers", earlier_start_does_not_replace_a_server);
 	ADD_TEST("servers", leaving_ends_with_a_new_start);
+	ADD_TEST("servers", servers_that_start_get_few_requests);
+	ADD_TEST("servers", cold_servers_get_few_requests);
+	ADD_TEST("servers", servers_that_recover_get_few_requests);
 	return g_test_run();
 }
