feat(decide): give the assigned VM the whole allowance of a server

**Problem**: only the few VMs ranked first at a cold or limited server sent there; what reached the others went elsewhere, so that a limited server got 0.03 to 0.47 of its limit at 9 or 65 VMs of a region. **Solution**: while VMs are assigned to servers, sender_rank_at() says that the assigned VM sends alone and others send nothing. One that takes over begins with nothing saved.

--- a/src/decide/cold_share.h
+++ b/src/decide/cold_share.h
@@ -13,7 +13,8 @@
  * Load pattern: the servers of a failure domain restart together and crash if
  * all entry VMs send them full load at once. A cold server can handle only a
  * few requests per second from the whole fleet, so only the entry VMs that are
- * ranked first may send any. No I/O, no locking.
+ * ranked first may send any; or, where a VM is assigned to the server, this VM
+ * alone. No I/O, no locking.
  */
 
 /**
--- a/src/decide/limit_share.c
+++ b/src/decide/limit_share.c
@@ -21,6 +21,14 @@
 /* Rate at which a server is tried that takes none. */
 #define TRIAL_PER_S 0.1
 
+/* Part of the limit that an assigned VM uses, and the requests that it may send
+ * at the same moment. Two of them send at most twice the burst and twice the
+ * rate: in 4 s, and 0.3 s on the way, 4 + 5.93 L at a limit of L, where 5 + 6 L
+ * are allowed; at the trial rate 4.9. */
+#define ASSIGNED_PART 0.62
+#define ASSIGNED_BURST_MIN 2
+#define ASSIGNED_BURST_PER_LIMIT 0.3
+
 /* The part of the limit for the VMs of this one's kind, local or not. */
 static double group_part(const struct sender_rank *rank)
 {
@@ -29,6 +37,23 @@
 	return rank->local ? 1 - OTHER_PART : OTHER_PART;
 }
 
+/* A VM that has just been assigned begins with no requests saved. One that is
+ * not gets no rate, but the time after which the assigned VM may send again. */
+static struct limit_share assigned_share(const struct sender_rank *rank,
+					 double limit_per_s)
+{
+	const double rate = fmax(ASSIGNED_PART * limit_per_s, TRIAL_PER_S);
+	struct limit_share share = {
+		.burst = ASSIGNED_BURST_MIN +
+			 ASSIGNED_BURST_PER_LIMIT * limit_per_s,
+		.retry_after_ms = MS_PER_S / rate,
+	};
+
+	if (rank->kind == SENDER_ASSIGNED)
+		share.rate_per_s = rate;
+	return share;
+}
+
 struct limit_share limit_share_compute(const struct sender_rank *rank,
 				       double limit_per_s)
 {
@@ -44,6 +69,8 @@
 		.retry_after_ms = MS_PER_S / rate,
 	};
 
+	if (rank->kind != SENDER_RANKED)
+		return assigned_share(rank, limit_per_s);
 	if (rank->position >= senders)
 		return share;
 	share.rate_per_s = rate / senders;
--- a/src/decide/limit_share.h
+++ b/src/decide/limit_share.h
@@ -17,7 +17,12 @@
  * first at the server send there: as many as may send one request each at the
  * same moment. VMs of other regions get a small part, because their callers may
  * have no other server. Each sender has a token bucket, and their first
- * requests are spread over time. No I/O, no locking.
+ * requests are spread over time.
+ *
+ * Load pattern: as above, with few requests for the server, spread over many
+ * VMs. They pass through the VM that is assigned to it, which sends alone. While
+ * the list of VMs changes, another VM may take itself for the assigned one, so
+ * each uses a part of the limit such that two keep the bound. No I/O, no locking.
  */
 
 /** This VM's part of a server's limit. */
--- a/src/decide/sender_rank.c
+++ b/src/decide/sender_rank.c
@@ -30,5 +30,7 @@
 
 uint32_t sender_rank_ahead(const struct sender_rank *rank)
 {
+	if (rank->kind == SENDER_NONE)
+		return UINT32_MAX;
 	return rank->position + (rank->local ? 0 : rank->local_count);
 }
--- a/src/sync/sender.c
+++ b/src/sync/sender.c
@@ -2,9 +2,24 @@
 
 #include <string.h>
 
+#include "assign/assignment.h"
+
 /* Limit on the entry VMs that are ranked: twice the size to design for. */
 #define VMS_MAX 1024
 
+/* The rank is computed each time: what servers are assigned to this VM changes
+ * with the list of servers as well. */
+static const struct sender_rank *assigned_rank(const struct proxy *proxy,
+					       struct server *server)
+{
+	const bool is_own = assignment_is_own_server(proxy->assignment, server);
+
+	memset(&server->rank, 0, sizeof(server->rank));
+	server->rank.kind = is_own ? SENDER_ASSIGNED : SENDER_NONE;
+	server->rank_generation = 0;
+	return &server->rank;
+}
+
 const struct sender_rank *sender_rank_at(const struct proxy *proxy,
 					 struct server *server)
 {
@@ -16,6 +31,8 @@
 	uint32_t count = 0;
 	guint i;
 
+	if (assignment_is_on(proxy->assignment))
+		return assigned_rank(proxy, server);
 	if (server->rank_generation == generation)
 		return &server->rank;
 	for (i = 0; i < all->len && count < VMS_MAX; i++) {
--- a/test/unit/decide/cold_share_test.c
+++ b/test/unit/decide/cold_share_test.c
@@ -77,11 +77,66 @@
 	g_assert_cmpuint(interval_ms(3, 0, 5, 1), ==, 0);
 }
 
+/* @return the largest number of requests that arrive in one second, if VMs send
+ * as often as they may from random times on, and requests are up to 20 ms on
+ * their way. */
+static uint32_t most_in_a_second(uint32_t gap_ms, uint32_t vm_count)
+{
+	static uint32_t arrivals[20000];
+	GRand *rand = g_rand_new_with_seed(3);
+	uint32_t most = 0;
+	uint32_t sum = 0;
+	uint32_t i;
+
+	memset(arrivals, 0, sizeof(arrivals));
+	for (i = 0; i < vm_count; i++) {
+		uint32_t at_ms = g_rand_int_range(rand, 0, 1000);
+
+		for (; at_ms < 19000; at_ms += gap_ms)
+			arrivals[at_ms + g_rand_int_range(rand, 0, 20)]++;
+	}
+	for (i = 0; i < ARRAY_SIZE(arrivals); i++) {
+		sum += arrivals[i];
+		if (i >= 1000)
+			sum -= arrivals[i - 1000];
+		most = MAX(most, sum);
+	}
+	g_rand_free(rand);
+	return most;
+}
+
+/* Load pattern: all requests for a cold server pass through the VM that is
+ * assigned to it; while the lists of VMs change, two take themselves for it. */
+static void two_assigned_vms_stay_under_the_limit(void)
+{
+	static const double limits[] = { 2, 5, 6.5, LIMIT_PER_S, 40, 200 };
+	const struct sender_rank assigned = { .kind = SENDER_ASSIGNED };
+	const struct sender_rank none = { .kind = SENDER_NONE };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(limits); i++) {
+		uint32_t gap_ms =
+			cold_share_min_interval_ms(&assigned, limits[i]);
+		uint32_t one = most_in_a_second(gap_ms, 1);
+		uint32_t two = most_in_a_second(gap_ms, 2);
+
+		g_test_message("limit=%g gap_ms=%u one=%u two=%u", limits[i],
+			       gap_ms, one, two);
+		g_assert_cmpuint(gap_ms, >, 0);
+		g_assert_cmpfloat(two, <=, limits[i]);
+		g_assert_cmpfloat(one, >=, 0.35 * limits[i]);
+		g_assert_cmpuint(cold_share_min_interval_ms(&none, limits[i]),
+				 ==, 0);
+	}
+	g_assert_cmpuint(cold_share_min_interval_ms(&assigned, 1), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("cold_share", fleet_stays_under_the_limit);
 	ADD_TEST("cold_share", prefers_vms_of_the_region);
 	ADD_TEST("cold_share", tiny_limit_allows_no_requests);
+	ADD_TEST("cold_share", two_assigned_vms_stay_under_the_limit);
 	return g_test_run();
 }
--- a/test/unit/decide/limit_share_test.c
+++ b/test/unit/decide/limit_share_test.c
@@ -194,6 +194,120 @@
 	g_rand_free(rand);
 }
 
+/* Requests for the server pass through the VM that is assigned to it. Those
+ * that find no allowance there go elsewhere.
+ *
+ * @param first, second VMs that take themselves for the assigned one; each
+ * request goes to either of them. */
+static void run_assigned(GRand *rand, uint32_t first, uint32_t second,
+			 double limit, double demand_per_s, int64_t from_ms,
+			 int64_t to_ms)
+{
+	const struct sender_rank rank = { .kind = SENDER_ASSIGNED };
+	const struct limit_share share = limit_share_compute(&rank, limit);
+	int64_t now_ms;
+
+	for (now_ms = from_ms; now_ms < to_ms; now_ms += STEP_MS) {
+		double odds = demand_per_s * STEP_MS / 1000;
+
+		for (; odds > 0; odds -= 0.1) {
+			uint32_t vm = g_rand_boolean(rand) ? first : second;
+
+			if (g_rand_double(rand) >= MIN(odds, 0.1))
+				continue;
+			limit_bucket_update(&buckets[vm], &share, now_ms + 1);
+			if (limit_bucket_wait_ms(&buckets[vm]))
+				continue;
+			limit_bucket_take(&buckets[vm]);
+			arrivals[now_ms + g_rand_int_range(rand, 0, DELAY_MAX_MS)]++;
+			total++;
+		}
+	}
+}
+
+/* The bounds of requests_spread_over_many_vms_use_the_limit for requests that
+ * pass through an assigned VM, however many VMs they come to. */
+static void assigned_vm_uses_the_limit(void)
+{
+	static const double limits[] = { 0.3, 1, 2.2, 3.3, 10, 50 };
+	static const double demands[] = { 1, 2, 4, 10 }; /* times the limit */
+	GRand *rand = g_rand_new_with_seed(31);
+	size_t k;
+	size_t n;
+
+	for (k = 0; k < ARRAY_SIZE(limits); k++)
+		for (n = 0; n < ARRAY_SIZE(demands); n++) {
+			double used;
+
+			make_fleet(1, 1);
+			run_assigned(rand, 0, 0, limits[k],
+				     demands[n] * limits[k], 0, LENGTH_MS);
+			used = total / (limits[k] * LENGTH_MS / 1000);
+			g_test_message("limit=%g demand=%g used=%.2f of the "
+				       "limit most=%u",
+				       limits[k], demands[n], used,
+				       most_in_a_window(0));
+			g_assert_cmpfloat(used, >, 0.5);
+			g_assert_cmpfloat(most_in_a_window(0), <=,
+					  allowed(limits[k]));
+		}
+	g_rand_free(rand);
+}
+
+/* Lists of VMs differ for a while when a VM stops or starts: two VMs may take
+ * themselves for the assigned one, each with all that it may send at once. */
+static void two_assigned_vms_keep_the_limit(void)
+{
+	static const double limits[] = { 0, 0.05, 0.3, 1, 2.2, 3.3, 17, 100, 900 };
+	GRand *rand = g_rand_new_with_seed(32);
+	size_t k;
+
+	for (k = 0; k < ARRAY_SIZE(limits); k++) {
+		double demand = 20 + 4 * limits[k];
+
+		make_fleet(2, 2);
+		run_assigned(rand, 0, 0, limits[k], demand, 0, 20000);
+		run_assigned(rand, 0, 1, limits[k], demand, 20000, 50000);
+		run_assigned(rand, 1, 1, limits[k], demand, 50000, 70000);
+		/* idle VMs save requests, up to the burst */
+		run_assigned(rand, 0, 1, limits[k], demand, 100000, LENGTH_MS);
+		g_test_message("limit=%g most=%u of %g", limits[k],
+			       most_in_a_window(0), allowed(limits[k]));
+		g_assert_cmpfloat(most_in_a_window(0), <=, allowed(limits[k]));
+		g_assert_cmpuint(total, >, 0);
+	}
+	g_rand_free(rand);
+}
+
+/* The VM that takes over begins with no requests saved, and is not idle. */
+static void change_of_the_assigned_vm_uses_the_limit(void)
+{
+	GRand *rand = g_rand_new_with_seed(33);
+	uint32_t i;
+
+	make_fleet(2, 2);
+	for (i = 0; i < 12; i++)
+		run_assigned(rand, i % 2, i % 2, 10, 20, i * 10000,
+			     (i + 1) * 10000);
+	g_assert_cmpfloat(total, >, 0.5 * 10 * LENGTH_MS / 1000);
+	g_assert_cmpfloat(most_in_a_window(0), <=, allowed(10));
+	g_rand_free(rand);
+}
+
+/* A VM that is not assigned sends nothing, and says when another may. */
+static void other_vms_send_nothing(void)
+{
+	const struct sender_rank rank = { .kind = SENDER_NONE };
+	const struct limit_share share = limit_share_compute(&rank, 10);
+	struct limit_bucket bucket = { 0 };
+
+	g_assert_cmpfloat(share.rate_per_s, ==, 0);
+	limit_bucket_update(&bucket, &share, 1000);
+	limit_bucket_update(&bucket, &share, 60000);
+	g_assert_cmpuint(limit_bucket_wait_ms(&bucket), >, 0);
+	g_assert_cmpuint(limit_bucket_wait_ms(&bucket), <, 1000);
+}
+
 /* Load pattern: the server names a slightly lower limit in each response. */
 static void slowly_falling_limit_is_used(void)
 {
@@ -264,6 +378,10 @@
 	ADD_TEST("limit_share", lowered_limit_takes_the_saved_requests);
 	ADD_TEST("limit_share", senders_take_turns);
 	ADD_TEST("limit_share", requests_spread_over_many_vms_use_the_limit);
+	ADD_TEST("limit_share", assigned_vm_uses_the_limit);
+	ADD_TEST("limit_share", two_assigned_vms_keep_the_limit);
+	ADD_TEST("limit_share", change_of_the_assigned_vm_uses_the_limit);
+	ADD_TEST("limit_share", other_vms_send_nothing);
 	ADD_TEST("limit_share", slowly_falling_limit_is_used);
 	ADD_TEST("limit_share", other_regions_get_a_small_part);
 	ADD_TEST("limit_share", wait_ends_when_a_request_may_be_sent);
