--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -67,6 +67,11 @@
 					 "read, each time" },
 	[COUNTER_REFUSED_KEY] = { "refused_key",
 				  "requests refused for their key (401)" },
+	[COUNTER_RAMPS_ENDED] = { "ramps_ended",
+				  "servers that got all slots after a start or "
+				  "recovery" },
+	[COUNTER_RAMP_HALVINGS] = { "ramp_halvings",
+				    "windows of such servers that were halved" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
