feat(handoff): pass requests on to the VM assigned to their object

**Problem**: each VM sends to all servers and knows the load of almost none, so requests queue at servers while others are idle. **Solution**: where servers are assigned to VMs, a request goes to the assigned VM on a kept connection, with its headers as received. That VM places it and says with Not-Executed that a refusal is final, with Handoff-Declined that the first VM should place it.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -65,6 +65,15 @@
 	[COUNTER_UNREADABLE_ENTRIES] = { "unreadable_entries",
 					 "values in the store that could not be "
 					 "read, each time" },
+	[COUNTER_HANDOFFS_SENT] = { "handoffs_sent",
+				    "requests passed on to their assigned VM" },
+	[COUNTER_HANDOFFS_RECEIVED] = { "handoffs_received",
+					"requests taken from other VMs" },
+	[COUNTER_HANDOFFS_FAILED] = { "handoffs_failed",
+				      "requests passed on without a response" },
+	[COUNTER_HANDOFFS_DECLINED] = { "handoffs_declined",
+					"requests that the assigned VM gave "
+					"back" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -27,6 +27,9 @@
 	const char *failure_domain; /**< interned */
 	const char *region;	    /**< interned; NULL: unknown domain */
 	struct sockaddr_in address;
+	/** stands for an entry VM that takes requests of this one; never listed
+	 * in `struct servers` */
+	bool is_entry_vm;
 	uint64_t hash;
 	int64_t start_unix_ms;
 	int64_t sequence; /**< of its last known entry, see server_entry */
--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -170,6 +170,8 @@
 	proxy->assignment = assignment_new(proxy);
 	proxy->handoff = handoff_new(proxy);
 	proxy->wait_queue = wait_queue_new(proxy);
+	if (*settings->handoff_address && !proxy->handoff)
+		return false;
 	if (!proxy->notices || !proxy->crashes || !proxy->reach)
 		return false;
 	proxy->store_sync = store_sync_new(proxy, &store);
--- a/src/proxy/stop.c
+++ b/src/proxy/stop.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "handoff/handoff.h"
 #include "net/timer.h"
 #include "request/caller.h"
 
@@ -42,6 +43,7 @@
 	if (proxy->listener)
 		evconnlistener_free(proxy->listener);
 	proxy->listener = NULL;
+	handoff_stop_listening(proxy->handoff);
 }
 
 /* Begins the time in which callers leave. Until the store knows of the
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -19,6 +19,8 @@
 #define CONNECT_TIMEOUT_MS 250
 /* Another server responds at the address. */
 #define STATUS_OTHER_SERVER 421
+/* Statuses from here on are errors. */
+#define STATUS_ERROR_FIRST 400
 /* Responses up to this size are buffered until they are complete. */
 #define BUFFERED_RESPONSE_BYTES_MAX (256 * 1024)
 
@@ -39,6 +41,7 @@
 	struct response_meta meta; /* pointers are valid in on_head() only */
 	int64_t started_ms;
 	int64_t expected_body_bytes;
+	size_t request_bytes; /* as written to the connection */
 	uint16_t status;
 	bool keep_alive;
 	bool has_large_body; /* the request has */
@@ -113,6 +116,9 @@
 		evbuffer_add_buffer_reference(out, a->request->body);
 	if (!strcmp(a->request->method, "HEAD"))
 		http_stream_expect_no_body(pool_stream(a->connection));
+	a->request_bytes = evbuffer_get_length(out);
+	if (a->server->is_entry_vm)
+		return;
 	counter_add(COUNTER_ATTEMPTS, 1);
 	if (server_limit_is_named(&a->server->limit))
 		counter_add(COUNTER_LIMITED_SENDS, 1);
@@ -123,7 +129,8 @@
 	struct attempt *a = context;
 
 	evtimer_del(a->connect_timer);
-	reach_watch_connected(a->proxy->reach, a->server);
+	if (!a->server->is_entry_vm)
+		reach_watch_connected(a->proxy->reach, a->server);
 	server_update_rtt(a->server, attempt_elapsed_ms(a));
 	send_request(a);
 }
@@ -135,7 +142,8 @@
 	(void)fd;
 	(void)what;
 	close_connection(a);
-	reach_watch_failed(a->proxy->reach, a->server);
+	if (!a->server->is_entry_vm)
+		reach_watch_failed(a->proxy->reach, a->server);
 	finish(a, ATTEMPT_NOT_CONNECTED);
 }
 
@@ -177,8 +185,6 @@
 	if (a->status != STATUS_OTHER_SERVER &&
 	    (a->meta.has_limit || a->meta.limit_invalid || is_own_response(a)))
 		server_limits_record_response(a->proxy->limits, server, &a->meta);
-	a->meta.id = NULL;
-	a->meta.server_id = NULL;
 }
 
 static void on_head(void *context, const struct http_head *head)
@@ -206,20 +212,26 @@
 	a->keep_alive = head->keep_alive;
 	a->has_id = a->meta.id != NULL;
 	a->expected_body_bytes = head->content_length;
-	headers_copy_response(head, a->headers);
-	update_server_state(a);
+	headers_copy_response(head, a->server->is_entry_vm, a->headers);
+	if (!a->server->is_entry_vm)
+		update_server_state(a);
+	a->meta.id = NULL;
+	a->meta.server_id = NULL;
 }
 
 static void on_body(void *context, const uint8_t *data, size_t bytes)
 {
 	struct attempt *a = context;
+	const size_t bytes_max = a->request->buffered_bytes_max
+					 ? a->request->buffered_bytes_max
+					 : BUFFERED_RESPONSE_BYTES_MAX;
 
 	if (a->skipping_stale)
 		return;
 	evbuffer_add(a->body, data, bytes);
 	if (a->streaming) {
 		a->events->body_ready(a->context, a);
-	} else if (evbuffer_get_length(a->body) <= BUFFERED_RESPONSE_BYTES_MAX) {
+	} else if (evbuffer_get_length(a->body) <= bytes_max) {
 		return;
 	} else if (a->meta.stamped && !a->meta.encoded) {
 		a->streaming = true;
@@ -231,6 +243,26 @@
 	}
 }
 
+/* An error response that an entry VM made itself bears no server's stamp. */
+static bool is_error_of_vm(const struct attempt *a)
+{
+	return a->server->is_entry_vm && a->has_id &&
+	       a->status >= STATUS_ERROR_FIRST;
+}
+
+/* Unsent request bytes, or bytes after the response, would be read as part of
+ * the next message on the connection. Of a large body, the kernel may still
+ * hold some; an entry VM has read all of it if it keeps the connection open. */
+static bool can_reuse_connection(const struct attempt *a)
+{
+	struct http_stream *stream = pool_stream(a->connection);
+
+	return a->keep_alive && a->has_id &&
+	       (!a->has_large_body || a->server->is_entry_vm) &&
+	       !a->skipped_stale && !http_stream_pending_bytes(stream) &&
+	       !evbuffer_get_length(http_stream_output(stream));
+}
+
 static void on_complete(void *context)
 {
 	struct attempt *a = context;
@@ -243,18 +275,16 @@
 		return;
 	}
 	facts.status = a->status;
-	facts.stamped = a->meta.stamped;
+	facts.stamped = a->meta.stamped || is_error_of_vm(a);
 	facts.not_run = a->meta.not_run;
 	facts.encoded = a->meta.encoded;
-	/* unsent request bytes, or bytes after the response, would be read as
-	 * part of the next message on the connection; of a large body, the
-	 * kernel may still hold some */
-	if (a->keep_alive && a->has_id && !a->has_large_body &&
-	    !a->skipped_stale && !http_stream_pending_bytes(stream) &&
-	    !evbuffer_get_length(http_stream_output(stream)))
+	if (can_reuse_connection(a)) {
+		if (a->has_large_body)
+			http_stream_set_user_timeout(stream, POOL_ACK_TIMEOUT_MS);
 		pool_release(a->connection, a->meta.idle_timeout_ms);
-	else
+	} else {
 		pool_discard(a->connection);
+	}
 	a->connection = NULL;
 	finish(a, outcome_of_response(&facts));
 }
@@ -265,10 +295,9 @@
 {
 	struct server *owned = server_ref(server);
 
-	log_info("servers",
-		 "server is silent; failing its requests "
-		 "server=%s",
-		 server->id);
+	log_info("servers", "%s is silent; failing its requests %s=%s",
+		 server->is_entry_vm ? "VM" : "server",
+		 server->is_entry_vm ? "vm" : "server", server->id);
 	while (owned->attempts) {
 		struct attempt *a = owned->attempts;
 
@@ -278,11 +307,23 @@
 	server_unref(owned);
 }
 
+/* @return whether an entry VM closed a kept connection before any byte of the
+ * request was written to it. */
+static bool is_unwritten(const struct attempt *a)
+{
+	struct evbuffer *out = http_stream_output(pool_stream(a->connection));
+
+	return a->server->is_entry_vm && a->sent &&
+	       evbuffer_get_length(out) == a->request_bytes;
+}
+
 static void on_ended(void *context, enum http_end_reason end)
 {
 	struct attempt *a = context;
 
-	if (end == HTTP_END_TIMED_OUT || !a->sent)
+	if (is_unwritten(a))
+		a->sent = false;
+	if ((end == HTTP_END_TIMED_OUT || !a->sent) && !a->server->is_entry_vm)
 		reach_watch_failed(a->proxy->reach, a->server);
 	if (end == HTTP_END_TIMED_OUT) {
 		fail_server_attempts(a->server);
@@ -371,6 +412,21 @@
 	return a->reused;
 }
 
+bool attempt_response_started(const struct attempt *a)
+{
+	return a->response_started;
+}
+
+bool attempt_is_refused(const struct attempt *a)
+{
+	return a->meta.not_run;
+}
+
+bool attempt_is_declined(const struct attempt *a)
+{
+	return a->meta.declined;
+}
+
 uint16_t attempt_status(const struct attempt *a)
 {
 	return a->status;
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -9,7 +9,9 @@
 
 /**
  * @file
- * One attempt to send a request to a backend server.
+ * One attempt to send a request to a backend server, or to the entry VM that is
+ * assigned to it. What is learned of backend servers, such as their load, is
+ * not recorded for an entry VM.
  *
  * A response is buffered until it is complete, so that the request can be
  * retried if the response breaks off. A response too large to buffer is
@@ -37,6 +39,9 @@
 	struct evbuffer *head;
 	struct evbuffer *body;
 	int64_t deadline_ms; /**< clock time; the server may stop after it */
+	/** Responses up to this size are buffered until they are complete; 0:
+	 * the default. */
+	uint32_t buffered_bytes_max;
 };
 
 /** @return an attempt that the caller frees, or NULL if nothing was sent. */
@@ -55,6 +60,13 @@
 /** @return whether the attempt uses an existing connection from the pool. */
 bool attempt_reused_connection(const struct attempt *attempt);
 
+/** @return whether the head of the response was received. */
+bool attempt_response_started(const struct attempt *attempt);
+/** @return whether the response says that the request has not run. */
+bool attempt_is_refused(const struct attempt *attempt);
+/** @return whether an entry VM wants this one to place the request. */
+bool attempt_is_declined(const struct attempt *attempt);
+
 /** Status, header lines and body of the response received so far. */
 uint16_t attempt_status(const struct attempt *attempt);
 struct evbuffer *attempt_headers(struct attempt *attempt);
--- a/src/request/caller.c
+++ b/src/request/caller.c
@@ -25,11 +25,28 @@
  * connection while they exceed this. */
 #define HELD_BYTES_MAX (256 * 1024)
 
+/* Idle time-out of connections of other entry VMs, which send requests less
+ * often than a caller and are known. */
+#define HANDOFF_IDLE_TIMEOUT_S 60
+/* What another entry VM adds to the head of a caller's request. */
+#define HANDOFF_HEAD_BYTES_EXTRA 512
+
 static const struct caller_limits *get_limits(const struct proxy *proxy)
 {
 	return proxy->config ? &proxy->config->limits : &default_limits;
 }
 
+static uint32_t get_idle_timeout_ms(const struct caller *caller)
+{
+	return caller->is_handoff ? HANDOFF_IDLE_TIMEOUT_S * 1000
+				  : get_limits(caller->proxy)->idle_timeout_ms;
+}
+
+bool caller_is_handoff(const struct caller_request *request)
+{
+	return request->caller->is_handoff;
+}
+
 struct caller_request *caller_first_request(const struct caller *caller)
 {
 	return caller->requests.head ? caller->requests.head->data : NULL;
@@ -85,7 +102,7 @@
 static void start_timeout(struct caller *caller)
 {
 	const struct caller_limits *limits = get_limits(caller->proxy);
-	uint32_t ms = MIN(limits->head_timeout_ms, limits->idle_timeout_ms);
+	uint32_t ms = MIN(limits->head_timeout_ms, get_idle_timeout_ms(caller));
 
 	timer_start(caller->timer, ms);
 }
@@ -210,7 +227,7 @@
 			return;
 		}
 		caller->head_started = true;
-	} else if (idle_ms >= get_limits(caller->proxy)->idle_timeout_ms) {
+	} else if (idle_ms >= get_idle_timeout_ms(caller)) {
 		http_stream_free(caller->stream);
 		caller_free(caller);
 		return;
@@ -317,18 +334,21 @@
 	.ended = on_ended,
 };
 
-void caller_accept(struct proxy *proxy, int fd)
+static void accept_connection(struct proxy *proxy, int fd, bool is_handoff)
 {
 	struct caller *caller = calloc(1, sizeof(*caller));
+	const uint32_t head_bytes_max =
+		get_limits(proxy)->head_bytes_max +
+		(is_handoff ? HANDOFF_HEAD_BYTES_EXTRA : 0);
 
 	if (!caller) {
 		evutil_closesocket(fd);
 		return;
 	}
 	caller->proxy = proxy;
+	caller->is_handoff = is_handoff;
 	caller->timer = evtimer_new(proxy->base, on_timer, caller);
-	caller->stream = http_stream_accept(proxy->base, fd,
-					    get_limits(proxy)->head_bytes_max,
+	caller->stream = http_stream_accept(proxy->base, fd, head_bytes_max,
 					    &stream_events, caller);
 	if (!caller->stream || !caller->timer) {
 		if (caller->timer)
@@ -343,6 +363,16 @@
 	wait_for_request(caller);
 }
 
+void caller_accept(struct proxy *proxy, int fd)
+{
+	accept_connection(proxy, fd, false);
+}
+
+void caller_accept_handoff(struct proxy *proxy, int fd)
+{
+	accept_connection(proxy, fd, true);
+}
+
 /* Whether callers should go to another VM. */
 static bool turns_callers_away(const struct proxy *proxy)
 {
@@ -384,6 +414,9 @@
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
 	if (request->close_after_response)
 		evbuffer_add_printf(out, "Connection: close\r\n");
+	else if (request->caller->is_handoff)
+		evbuffer_add_printf(out, "Keep-Alive: timeout=%d\r\n",
+				    HANDOFF_IDLE_TIMEOUT_S);
 	evbuffer_add(out, "\r\n", 2);
 }
 
--- a/src/request/caller.h
+++ b/src/request/caller.h
@@ -19,6 +19,13 @@
 /** Takes ownership of an accepted connection; closes `fd` on failure. */
 void caller_accept(struct proxy *proxy, int fd);
 
+/** As caller_accept(), for a connection of another entry VM that hands off
+ * requests. */
+void caller_accept_handoff(struct proxy *proxy, int fd);
+
+/** @return whether another entry VM handed off the request. */
+bool caller_is_handoff(const struct caller_request *request);
+
 /** Closes connections that have had no request for a while, during a graceful
  * shutdown. */
 void callers_close_idle(struct proxy *proxy);
--- a/src/request/caller_internal.h
+++ b/src/request/caller_internal.h
@@ -30,6 +30,7 @@
 	bool head_started; /* at the last timer event */
 	bool reading;	   /* the stream parses the next message */
 	bool advancing;	   /* advance() follows or is on the stack */
+	bool is_handoff;   /* another entry VM hands off requests on it */
 	bool rejected;	   /* the input is no request; nothing more is read */
 };
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -35,8 +35,12 @@
 #define DEADLINE_MARGIN_MS 50
 /* Deadline of a request for which the caller gives none. */
 #define DEADLINE_DEFAULT_MS 30000
-/* Unsent bytes to a slow caller at which reading from the server pauses. */
-#define UNSENT_BYTES_MAX (512 * 1024)
+/* The VM that handed a request off waits this much longer than this one, so
+ * that the response at the deadline still arrives. */
+#define HANDOFF_GRACE_MS 40
+/* Of a request that was handed off and may be repeated, the VM that handed it
+ * off buffers the response: larger ones are forwarded while they arrive. */
+#define HANDOFF_BUFFERED_BYTES_MAX 16384
 
 static void on_deadline(evutil_socket_t fd, short what, void *context);
 static void start_attempt(struct exchange *e, const char *retry_reason);
@@ -44,12 +48,19 @@
 static void set_deadline(struct exchange *e, uint32_t caller_ms)
 {
 	uint32_t limit_ms = caller_ms ? caller_ms : DEADLINE_DEFAULT_MS;
+	int64_t grace_ms = LATE_RESPONSE_GRACE_MS;
 
 	e->caller_deadline_ms = e->started_ms + limit_ms;
 	if (e->route && e->route->timeout_ms < limit_ms)
 		limit_ms = e->route->timeout_ms;
 	e->deadline_ms = e->started_ms + limit_ms;
-	timer_start(e->timer, (int64_t)limit_ms + LATE_RESPONSE_GRACE_MS);
+	if (e->handed_off) {
+		/* the VM that handed it off ends a response that takes too
+		 * long: it knows the caller's deadline */
+		e->caller_deadline_ms = e->started_ms + DEADLINE_DEFAULT_MS;
+		grace_ms -= HANDOFF_GRACE_MS;
+	}
+	timer_start(e->timer, limit_ms + grace_ms);
 }
 
 static uint64_t hash_object(const struct exchange *e,
@@ -60,6 +71,20 @@
 	return XXH3_64bits(e->id, strlen(e->id));
 }
 
+static void init_request(struct exchange *e, const struct http_head *head)
+{
+	headers_copy_request(head, e->head);
+	e->request.id = e->id;
+	e->request.method = e->method;
+	e->request.head = e->head;
+	e->request.body = e->body;
+	e->request.deadline_ms = e->deadline_ms;
+	if (e->handed_off && e->route && e->route->idempotent)
+		e->request.buffered_bytes_max = HANDOFF_BUFFERED_BYTES_MAX;
+	if (!e->handed_off && e->config && e->config->has_large_bodies)
+		handoff_init_request(e, head);
+}
+
 struct exchange *exchange_begin(struct proxy *proxy,
 				struct caller_request *caller,
 				const struct http_head *head)
@@ -81,18 +106,17 @@
 	e->body = evbuffer_new();
 	e->timer = evtimer_new(proxy->base, on_deadline, e);
 	e->worst_verdict = VERDICT_NOT_RUN;
+	e->handed_off = caller_is_handoff(caller);
 	proxy->exchanges_in_progress++;
 	gauge_add(GAUGE_IN_FLIGHT, 1);
-	counter_add(COUNTER_REQUESTS, 1);
-	headers_copy_request(head, e->head);
+	counter_add(e->handed_off ? COUNTER_HANDOFFS_RECEIVED : COUNTER_REQUESTS,
+		    1);
 	exchange_match_route(e, head);
+	if (e->handed_off)
+		handoff_check_request(e, meta.receiver);
 	set_deadline(e, meta.deadline_ms);
 	exchange_refuse_late_arrival(e);
-	e->request.id = e->id;
-	e->request.method = e->method;
-	e->request.head = e->head;
-	e->request.body = e->body;
-	e->request.deadline_ms = e->deadline_ms;
+	init_request(e, head);
 	if (!e->refusal_status &&
 	    proxy->buffered_body_bytes + (uint64_t)MAX(head->content_length, 0) >
 		    BUFFERED_BODIES_BYTES_MAX)
@@ -161,11 +185,19 @@
 	return true;
 }
 
-void exchange_process_request(struct exchange *e)
+void exchange_count_for_retry_share(struct exchange *e)
 {
-	struct retry_share_rule rule;
-	struct service_state *state;
+	struct retry_share_rule rule = exchange_retry_rule(e);
 
+	if (e->counts_for_retry_share)
+		return;
+	e->counts_for_retry_share = true;
+	retry_share_count_request(&exchange_service_state(e)->retries, &rule,
+				  e->started_ms);
+}
+
+void exchange_process_request(struct exchange *e)
+{
 	exchange_refuse_late_arrival(e);
 	if (e->refusal_status) {
 		exchange_fail(e, e->refusal_status, e->refusal_reason);
@@ -176,12 +208,13 @@
 		exchange_fail(e, 503, "crashes-servers");
 		return;
 	}
-	rule = exchange_retry_rule(e);
-	state = exchange_service_state(e);
-	retry_share_count_request(&state->retries, &rule, e->started_ms);
 	if (refuse_over_quota(e))
 		return;
-	exchange_choose_region(e);
+	/* the region of a request that was handed off is chosen already */
+	if (e->handed_off)
+		e->region = e->proxy->region;
+	else
+		exchange_choose_region(e);
 	start_attempt(e, NULL);
 }
 
@@ -219,9 +252,10 @@
 		return;
 	}
 	counter_add(COUNTER_TIMED_OUT, 1);
-	server_record_failure(attempt_server(e->attempt),
-			      outcome_text(ATTEMPT_TIMED_OUT),
-			      proxy_now_ms(e->proxy));
+	if (!attempt_server(e->attempt)->is_entry_vm)
+		server_record_failure(attempt_server(e->attempt),
+				      outcome_text(ATTEMPT_TIMED_OUT),
+				      proxy_now_ms(e->proxy));
 	exchange_finish_streaming(e, ATTEMPT_TIMED_OUT);
 }
 
@@ -247,7 +281,9 @@
 		end_late_stream(e);
 		return;
 	}
-	if (e->attempt && attempt_was_sent(e->attempt))
+	if (e->attempt && attempt_server(e->attempt)->is_entry_vm)
+		handoff_record_timeout(e);
+	else if (e->attempt && attempt_was_sent(e->attempt))
 		record_timeout(e, attempt_server(e->attempt),
 			       attempt_elapsed_ms(e->attempt));
 	counter_add(COUNTER_TIMED_OUT, 1);
@@ -265,20 +301,21 @@
 	if (!e)
 		return;
 	log_info("request",
-		 "%s request=%s route=%s sends=%u sent=%d server=%s "
+		 "%s request=%s route=%s sends=%u sent=%d %s=%s "
 		 "took_ms=%" PRId64,
 		 e->proxy->exiting ? "request given up at exit"
 				   : "caller closed the connection",
 		 e->id, e->route ? e->route->name : "-", e->send_count,
 		 e->attempt && attempt_was_sent(e->attempt),
+		 e->attempt && attempt_server(e->attempt)->is_entry_vm ? "via"
+								       : "server",
 		 e->attempt ? attempt_server(e->attempt)->id : "-",
 		 proxy_now_ms(e->proxy) - e->started_ms);
 	exchange_free(e);
 }
 
-/* Whether to forward the response would tell the caller of an order that it has
- * not run, though the server did not say so. */
-static bool is_unproved_refusal(const struct exchange *e, const struct attempt *a)
+bool exchange_is_unproved_refusal(const struct exchange *e,
+				  const struct attempt *a)
 {
 	return !e->route->idempotent &&
 	       outcome_status_means_not_run(attempt_status(a));
@@ -288,7 +325,7 @@
 {
 	struct exchange *e = context;
 
-	if (is_unproved_refusal(e, a)) {
+	if (exchange_is_unproved_refusal(e, a)) {
 		e->worst_verdict = VERDICT_RAN;
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      "refusal-without-proof");
@@ -297,21 +334,6 @@
 	exchange_start_streaming(e);
 }
 
-static void on_body_ready(void *context, struct attempt *a)
-{
-	struct exchange *e = context;
-
-	caller_write_body(e->caller, attempt_body(a));
-	if (caller_unsent_bytes(e->caller) > UNSENT_BYTES_MAX)
-		attempt_pause_reading(a, true);
-}
-
-void exchange_on_output_drained(struct exchange *e)
-{
-	if (e->streaming && e->attempt)
-		attempt_pause_reading(e->attempt, false);
-}
-
 static bool can_retry(const struct exchange *e, enum attempt_end end)
 {
 	if (outcome_verdict(end) != VERDICT_NOT_RUN && !e->route->idempotent)
@@ -387,7 +409,7 @@
 		return;
 	}
 	if ((end == ATTEMPT_ANSWERED || end == ATTEMPT_FAILED) &&
-	    is_unproved_refusal(e, a)) {
+	    exchange_is_unproved_refusal(e, a)) {
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      "refusal-without-proof");
 		return;
@@ -412,7 +434,7 @@
 
 static const struct attempt_events attempt_events = {
 	on_buffer_full,
-	on_body_ready,
+	exchange_forward_body,
 	on_done,
 };
 
@@ -439,6 +461,7 @@
 	limit_deadline_to_exit(e);
 	if (handoff_start(e))
 		return;
+	exchange_count_for_retry_share(e);
 	server = exchange_select_server(e, retry_reason, &refusal);
 	if (!server) {
 		counter_add(COUNTER_REFUSED_FULL, 1);
@@ -454,3 +477,17 @@
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      "no-connection");
 }
+
+void exchange_place_directly(struct exchange *e, enum attempt_end end)
+{
+	/* counted first, as its share pays for the retry */
+	exchange_count_for_retry_share(e);
+	if (!can_retry(e, end) || !acquire_retry_budget(e, end)) {
+		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
+			      "handoff-failed");
+		return;
+	}
+	attempt_free(e->attempt);
+	e->attempt = NULL;
+	start_attempt(e, end == ATTEMPT_NOT_CONNECTED ? NULL : outcome_text(end));
+}
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -47,6 +47,13 @@
 	uint32_t send_count; /* attempts that may have reached a server */
 	enum verdict worst_verdict;
 	bool handed_off; /* another entry VM passed it on to this one */
+	bool declined;	 /* that VM should place it itself */
+	/* request line and headers as received; NULL: it is not passed on */
+	struct evbuffer *handoff_head;
+	struct attempt_request handoff_request;
+	bool handoff_decided;	     /* whether to pass it on */
+	bool handoff_renewed;	     /* after a kept connection was closed */
+	bool counts_for_retry_share; /* has been counted */
 	/* region in which it should run, interned; NULL: not chosen */
 	const char *region;
 	bool spilled_over;  /* should run in another region */
@@ -63,6 +70,26 @@
 void exchange_set_refusal(struct exchange *exchange, uint16_t status,
 			  const char *reason);
 
+/** @return whether to forward a response would tell the caller of an order that
+ * it has not run, without proof of this. */
+bool exchange_is_unproved_refusal(const struct exchange *exchange,
+				  const struct attempt *attempt);
+
+/** Callback of an attempt: forwards what has arrived of a streamed response. */
+void exchange_forward_body(void *exchange, struct attempt *attempt);
+
+/** Counts the request, once, among those that pay for this VM's retries. */
+void exchange_count_for_retry_share(struct exchange *exchange);
+
+/**
+ * After a handoff failed: sends the request to a server that this VM selects,
+ * or responds if it may not be sent again. May free the exchange.
+ *
+ * @param end how the handoff ended; ATTEMPT_NOT_CONNECTED if the request has
+ * not run, which does not count as a retry.
+ */
+void exchange_place_directly(struct exchange *exchange, enum attempt_end end);
+
 /** Selects the route, the workspace and the service, or refuses the request. */
 void exchange_match_route(struct exchange *exchange,
 			  const struct http_head *head);
--- a/src/request/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "handoff/handoff.h"
 #include "platform/header_codec.h"
 #include "request/exchange_internal.h"
 #include "request/headers.h"
@@ -12,6 +13,8 @@
 
 /* Retry-After value if no wait has been estimated. */
 #define RETRY_AFTER_DEFAULT_MS 500
+/* Unsent bytes to a slow caller at which reading from the server pauses. */
+#define UNSENT_BYTES_MAX (512 * 1024)
 /* Longer than callers wait; keeps the sum with its jitter in 32 bits. */
 #define RETRY_AFTER_MAX_MS 120000
 
@@ -27,6 +30,8 @@
 	e->proxy->buffered_body_bytes -= evbuffer_get_length(e->body);
 	config_unref(e->config);
 	event_free(e->timer);
+	if (e->handoff_head)
+		evbuffer_free(e->handoff_head);
 	evbuffer_free(e->head);
 	evbuffer_free(e->body);
 	free(e->id);
@@ -40,12 +45,16 @@
 	log_info("request",
 		 "request answered request=%s route=%s "
 		 "version=%08" PRIx64 " status=%u why=%s verdict=%s sends=%u "
-		 "took_ms=%" PRId64 " server=%s",
+		 "took_ms=%" PRId64 " server=%s via=%s handed_off=%d",
 		 e->id, e->route ? e->route->name : "-",
 		 e->config ? e->config->version : 0, status, reason,
 		 verdict_text(e->worst_verdict), e->send_count,
 		 proxy_now_ms(e->proxy) - e->started_ms,
-		 e->tried_count ? e->tried_servers[e->tried_count - 1]->id : "-");
+		 e->tried_count ? e->tried_servers[e->tried_count - 1]->id : "-",
+		 e->attempt && attempt_server(e->attempt)->is_entry_vm
+			 ? attempt_server(e->attempt)->id
+			 : "-",
+		 e->handed_off);
 }
 
 static uint32_t retry_after_ms(const struct exchange *e)
@@ -85,6 +94,9 @@
 		evbuffer_add_printf(headers, "Retry-After: %u.%03u\r\n",
 				    delay_ms / (uint32_t)MS_PER_S,
 				    delay_ms % (uint32_t)MS_PER_S);
+	if (e->handed_off && e->worst_verdict == VERDICT_NOT_RUN &&
+	    outcome_status_means_not_run(status))
+		response_refusal_encode(headers, handoff_is_declined(e));
 	caller_write_head(caller, status, headers, FRAMING_CONTENT_LENGTH, 0,
 			  false);
 	evbuffer_free(headers);
@@ -106,10 +118,18 @@
 	struct attempt *a = e->attempt;
 	struct caller_request *caller = e->caller;
 	uint16_t status = attempt_status(a);
-
-	log_response(e, status, "answered");
-	histogram_add(HISTOGRAM_ANSWERED, proxy_now_ms(e->proxy) - e->started_ms);
-	counter_add(COUNTER_ANSWERED, 1);
+	int64_t elapsed_ms = proxy_now_ms(e->proxy) - e->started_ms;
+
+	/* a VM that was handed the request may refuse it */
+	if (attempt_is_refused(a)) {
+		log_response(e, status, "refused-by-vm");
+		histogram_add(HISTOGRAM_REFUSED, elapsed_ms);
+		counter_add(COUNTER_NOT_RUN, 1);
+	} else {
+		log_response(e, status, "answered");
+		histogram_add(HISTOGRAM_ANSWERED, elapsed_ms);
+		counter_add(COUNTER_ANSWERED, 1);
+	}
 	caller_write_head(caller, status, attempt_headers(a),
 			  choose_framing(e, status),
 			  evbuffer_get_length(attempt_body(a)), false);
@@ -132,6 +152,21 @@
 	caller_write_body(e->caller, attempt_body(a));
 }
 
+void exchange_forward_body(void *context, struct attempt *a)
+{
+	struct exchange *e = context;
+
+	caller_write_body(e->caller, attempt_body(a));
+	if (caller_unsent_bytes(e->caller) > UNSENT_BYTES_MAX)
+		attempt_pause_reading(a, true);
+}
+
+void exchange_on_output_drained(struct exchange *e)
+{
+	if (e->streaming && e->attempt)
+		attempt_pause_reading(e->attempt, false);
+}
+
 void exchange_finish_streaming(struct exchange *e, enum attempt_end end)
 {
 	struct caller_request *caller = e->caller;
--- a/src/request/headers.c
+++ b/src/request/headers.c
@@ -40,14 +40,16 @@
 	}
 }
 
-void headers_copy_response(const struct http_head *head, struct evbuffer *out)
+void headers_copy_response(const struct http_head *head, bool from_vm,
+			   struct evbuffer *out)
 {
 	uint32_t i;
 
 	for (i = 0; i < head->header_count; i++) {
 		const struct http_header *header = &head->headers[i];
 
-		if (is_forwarded(head, header->name))
+		if (is_forwarded(head, header->name) &&
+		    !(from_vm && response_header_is_between_vms(header->name)))
 			evbuffer_add_printf(out, "%s: %s\r\n", header->name,
 					    header->value);
 	}
--- a/src/request/message_defs.h
+++ b/src/request/message_defs.h
@@ -11,6 +11,8 @@
 	const char *object; /**< object the request refers to; NULL: none */
 	uint32_t object_bytes;
 	uint32_t deadline_ms; /**< how long the caller waits; 0: not given */
+	const char *receiver; /**< name of the process it is meant for; NULL:
+			       * not given */
 };
 
 struct response_meta {
@@ -18,7 +20,8 @@
 	const char *server_id; /**< server that responded; NULL: not given */
 	bool stamped;	       /**< carries a backend server's response stamp */
 	bool not_run; /**< the server reports that it did not run the request */
-	bool leaving; /**< the server reports that it will exit */
+	bool declined; /**< an entry VM wants the sender to place the request */
+	bool leaving;  /**< the server reports that it will exit */
 	bool encoded; /**< has a content encoding: not the server's own bytes */
 	bool has_load;
 	uint32_t running;
--- a/src/request/pool.c
+++ b/src/request/pool.c
@@ -12,11 +12,6 @@
 /* Idle timeout assumed if the server does not announce one. */
 #define IDLE_TIMEOUT_DEFAULT_MS 4000
 
-/* Time for the server's kernel to acknowledge sent data. Equals seven round
- * trips between regions, so that a lost packet or two are retransmitted first,
- * and leaves time to retry at another server. */
-#define ACK_TIMEOUT_MS 500
-
 struct server_connection {
 	struct proxy *proxy;
 	struct server *server;
@@ -143,7 +138,7 @@
 	c->context = context;
 	c->idle_timer = evtimer_new(proxy->base, on_idle_timeout, c);
 	c->stream = http_stream_connect(proxy->base, &server->address,
-					ACK_TIMEOUT_MS, &stream_events, c);
+					POOL_ACK_TIMEOUT_MS, &stream_events, c);
 	if (!c->stream || !c->idle_timer) {
 		pool_discard(c);
 		return NULL;
@@ -152,6 +147,12 @@
 	return c;
 }
 
+void pool_discard_idle(struct server *server)
+{
+	while (server->idle)
+		pool_discard(server->idle);
+}
+
 struct http_stream *pool_stream(struct server_connection *c)
 {
 	return c->stream;
--- a/src/request/pool.h
+++ b/src/request/pool.h
@@ -13,6 +13,11 @@
 
 struct server_connection;
 
+/** Time for the server's kernel to acknowledge sent data. Equals seven round
+ * trips between regions, so that a lost packet or two are retransmitted first,
+ * and leaves time to retry at another server. */
+#define POOL_ACK_TIMEOUT_MS 500
+
 /** Callbacks to the user of a connection. */
 struct pool_events {
 	void (*connected)(void *context);
@@ -40,6 +45,9 @@
  */
 void pool_release(struct server_connection *connection, uint32_t idle_timeout_ms);
 
+/** Closes all idle connections to a server. */
+void pool_discard_idle(struct server *server);
+
 /** Closes a connection, even if a request is in progress on it. */
 void pool_discard(struct server_connection *connection);
 
--- a/test/functional/platform_lib.sh
+++ b/test/functional/platform_lib.sh
@@ -10,7 +10,7 @@
 . demo/fleet.sh
 . test/functional/report_lib.sh
 trap fleet_stop EXIT
-declare -A FRONT READY DIRECTORY METRICS RELAY VM_PID
+declare -A FRONT READY DIRECTORY METRICS RELAY HANDOFF VM_PID
 
 # steer PATH JSON: sends a control request to the platform.
 steer() {
@@ -57,7 +57,8 @@
 }
 
 # write_vm_settings NAME REGION DOMAIN [LOG_LEVEL]: writes the settings of an
-# entry VM, which keeps its ports over restarts.
+# entry VM, which keeps its ports over restarts. It takes requests of other VMs
+# if HANDOFF[NAME] is set.
 write_vm_settings() {
 	if [ -z "${FRONT[$1]:-}" ]; then
 		fleet_port; FRONT[$1]=127.0.0.1:$PORT
@@ -75,6 +76,7 @@
 	 "directory_address": "${DIRECTORY[$1]}",
 	 "metrics_address": "${METRICS[$1]}", "store_address": "$STORE",
 	 "relay_address": "${RELAY[$1]}",
+	 ${HANDOFF[$1]:+"\"handoff_address\": \"${HANDOFF[$1]}\", \"cpu_share\": \"0.5\","}
 	 "bounds": "DrainMs=2500,GraceS=6,BudgetRatio=0.2,BudgetExtra=100,BudgetWindowS=10,MaxShift=0.15",
 	 "log_level": "${4:-info}"}
 	END
