--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -72,6 +72,15 @@
 				  "recovery" },
 	[COUNTER_RAMP_HALVINGS] = { "ramp_halvings",
 				    "windows of such servers that were halved" },
+	[COUNTER_HANDOFFS_SENT] = { "handoffs_sent",
+				    "requests passed on to their assigned VM" },
+	[COUNTER_HANDOFFS_RECEIVED] = { "handoffs_received",
+					"requests taken from other VMs" },
+	[COUNTER_HANDOFFS_FAILED] = { "handoffs_failed",
+				      "requests passed on without a response" },
+	[COUNTER_HANDOFFS_DECLINED] = { "handoffs_declined",
+					"requests that the assigned VM gave "
+					"back" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
