feat(assign): servers and objects are assigned to entry VMs

**Problem:** each of 140 VMs sees 14 of 2,000 requests/s and knows the load of almost no server, so requests queue at servers while others are idle.

**Solution:** decide/assign gives each server of a service to one VM of its failure domain (weighted rendezvous hashing by processor share, bounded by the share) and each object to one VM of a region (by usable slots). assign/assignment keeps the result for a service and region until the list of VMs or of servers changes (servers_generation()). Only what all VMs read from the store counts, so that all compute the same. The weighted score of place.c is now decide/rendezvous, with the same results.

--- a/src/assign/assignment.h
+++ b/src/assign/assignment.h
@@ -37,6 +37,12 @@
 const struct vm *assignment_find_vm(struct assignment *assignment,
 				    const struct assignment_query *query);
 
+/** @return the listed servers of a service that are assigned to this VM, usable
+ * or not, as pointers to struct server; NULL if servers are not assigned. Valid
+ * until the lists of VMs or servers change. */
+const GPtrArray *assignment_own_servers(struct assignment *assignment,
+					const char *service);
+
 /** @return whether this VM is the one assigned to a server. */
 bool assignment_is_own_server(struct assignment *assignment,
 			      const struct server *server);
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -1,8 +1,8 @@
 #include "decide/place.h"
 
-#include <math.h>
 #include <string.h>
-#include <xxhash.h>
+
+#include "decide/rendezvous.h"
 
 /* Kinds of candidates, best first. A worse kind is used only if there is no
  * server of a better kind: a long queue on a healthy server does not justify
@@ -23,18 +23,6 @@
 	return (uint32_t)((uint64_t)(load - slots + 1) * service_ms / slots);
 }
 
-/* Weighted rendezvous hashing: the fraction of objects for which a server ranks
- * first equals its fraction of all slots. */
-static double rank_score(uint64_t object_hash,
-			 const struct place_candidate *candidate)
-{
-	uint64_t pair[2] = { object_hash, candidate->server_hash };
-	uint64_t hash = XXH3_64bits(pair, sizeof(pair));
-	double unit = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
-
-	return -(double)candidate->slots / log(unit);
-}
-
 static enum kind candidate_kind(const struct place_candidate *candidate)
 {
 	if (candidate->missing)
@@ -48,7 +36,8 @@
 			      const struct place_request *request)
 {
 	if (request->sticky)
-		return rank_score(request->object_hash, candidate);
+		return rendezvous_score(request->object_hash,
+					candidate->server_hash, candidate->slots);
 	return -(double)candidate->load / candidate->slots;
 }
 
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -27,8 +27,9 @@
 	GHashTable *by_id;	/* id to struct server; owns a reference */
 	GHashTable *by_service; /* name to GPtrArray of struct server */
 	GPtrArray *empty_list;
-	bool logs_changes; /* the list was read once */
-	GQueue removed;	   /* struct removal, oldest first */
+	bool logs_changes;   /* the list was read once */
+	GQueue removed;	     /* struct removal, oldest first */
+	uint64_t generation; /* never 0 */
 };
 
 /* A server that left the list. */
@@ -82,6 +83,7 @@
 {
 	struct servers *servers = g_new0(struct servers, 1);
 
+	servers->generation = 1;
 	servers->clock = clock;
 	servers->topology = topology;
 	servers->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -141,6 +143,7 @@
 		 "why=%s",
 		 server->id, server->service, server->failure_domain, reason);
 	server->listed = false;
+	servers->generation++;
 	g_ptr_array_remove_fast(list, server);
 	g_hash_table_remove(servers->by_id, server->id);
 }
@@ -205,6 +208,10 @@
 		server = add_server(servers, entry);
 		is_new = true;
 	}
+	if (is_new || server->load.slots != entry->slots ||
+	    server->draining != entry->draining ||
+	    (entry->cold_left_ms && server->cold_until_ms <= now_ms))
+		servers->generation++;
 	server->sequence = entry->sequence;
 	server->load.slots = entry->slots;
 	if (servers->logs_changes &&
@@ -269,6 +276,16 @@
 	return g_hash_table_size(servers->by_id);
 }
 
+uint64_t servers_generation(const struct servers *servers)
+{
+	return servers->generation;
+}
+
+void servers_mark_changed(struct servers *servers)
+{
+	servers->generation++;
+}
+
 void servers_for_each(const struct servers *servers,
 		      void (*visit)(struct server *server, void *context),
 		      void *context)
@@ -288,6 +305,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	servers->generation++;
 	g_hash_table_iter_init(&iter, servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct server *server = value;
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -78,6 +78,12 @@
 const GPtrArray *servers_for_service(const struct servers *servers,
 				     const char *service);
 uint32_t servers_count(const struct servers *servers);
+/** @return a number that rises when servers are listed or removed, or change
+ * their slots or whether they are usable; never 0. */
+uint64_t servers_generation(const struct servers *servers);
+/** Raises servers_generation(): servers of an evacuated failure domain are not
+ * usable. */
+void servers_mark_changed(struct servers *servers);
 /** Calls a function for each listed server. */
 void servers_for_each(const struct servers *servers,
 		      void (*visit)(struct server *server, void *context),
--- a/src/sync/store_sync.c
+++ b/src/sync/store_sync.c
@@ -142,6 +142,7 @@
 
 	if (domain) {
 		g_hash_table_add(proxy->evacuated, g_strdup(domain));
+		servers_mark_changed(proxy->servers);
 		log_info("evacuation",
 			 "evacuation of failure domain begins domain=%s "
 			 "revision=%" PRIu64,
