--- a/src/decide/load.h
+++ b/src/decide/load.h
@@ -52,6 +52,9 @@
  */
 uint32_t load_max_own_requests(uint32_t slots, uint32_t vms);
 
+/** @return the estimated number of running and queued requests of other VMs. */
+uint32_t load_estimate_others(const struct load_view *load, int64_t now_ms);
+
 /** @return the estimated number of running and queued requests. */
 uint32_t load_estimate(const struct load_view *load, int64_t now_ms);
 
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "decide/load.h"
 #include "decide/ramp.h"
+#include "decide/recent_objects.h"
 #include "decide/sender_rank.h"
 #include "fleet/server_defs.h"
 #include "fleet/server_limit.h"
@@ -47,6 +48,7 @@
 	uint64_t rank_generation; /**< of the list of VMs that it is from */
 	struct load_view load;
 	struct ramp ramp; /**< followed while VMs are assigned to servers */
+	struct recent_objects recent; /**< as its assigned VM */
 	struct server_limit limit;
 	uint32_t rtt_ms; /**< estimated round-trip time; 0: unknown */
 	uint32_t consecutive_failures; /**< reset by a success */
@@ -84,6 +86,12 @@
 const GPtrArray *servers_for_service(const struct servers *servers,
 				     const char *service);
 uint32_t servers_count(const struct servers *servers);
+/** @return a number that rises when servers are listed or removed, or change
+ * their slots or whether they are usable; never 0. */
+uint64_t servers_generation(const struct servers *servers);
+/** Raises servers_generation(): servers of an evacuated failure domain are not
+ * usable. */
+void servers_mark_changed(struct servers *servers);
 /** Calls a function for each listed server. */
 void servers_for_each(const struct servers *servers,
 		      void (*visit)(struct server *server, void *context),
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "net/timer.h"
 #include "platform/header_codec.h"
+#include "queue/wait_queue.h"
 #include "request/headers.h"
 #include "request/pool.h"
 #include "sync/reach_watch.h"
@@ -88,6 +89,7 @@
 	a->finished = true;
 	unlink_from_server(a);
 	load_record_finished(&a->server->load);
+	wait_queue_on_slot_free(a->proxy->wait_queue, a->server);
 	evtimer_del(a->connect_timer);
 	a->events->done(a->context, a, end);
 }
@@ -385,6 +387,7 @@
 	if (!a->finished) {
 		unlink_from_server(a);
 		load_record_finished(&a->server->load);
+		wait_queue_on_slot_free(a->proxy->wait_queue, a->server);
 	}
 	if (a->connection)
 		close_connection(a);
