feat(handoff): VMs that hand off requests learn how long they run

**Problem**: a VM that hands off all requests of a route measures no service time. Its estimate of the region's demand stayed at the assumed one, and a region with a tenth of the slots kept 60% to 70% of its objects. **Solution**: the response of the assigned VM names its quantiles in a header between VMs, and the other VM takes them over.

--- a/src/decide/service_time.c
+++ b/src/decide/service_time.c
@@ -7,6 +7,8 @@
  * more weight so that they soon replace the initial estimate. */
 #define WEIGHT_MIN 0.04
 #define WEIGHT_INITIAL 0.25
+/* Weight of a report of another VM: objects are at different VMs. */
+#define ADOPT_WEIGHT 0.1
 
 void service_time_init(struct service_time *time, uint32_t initial_ms)
 {
@@ -29,6 +31,27 @@
 		*estimate_ms = 1;
 }
 
+static void approach(double *estimate_ms, uint32_t reported_ms)
+{
+	*estimate_ms += ADOPT_WEIGHT * (reported_ms - *estimate_ms);
+}
+
+void service_time_adopt(struct service_time *time, uint32_t fast_ms,
+			uint32_t slow_ms)
+{
+	if (!fast_ms || slow_ms < fast_ms)
+		return;
+	if (time->sample_count < SERVICE_TIME_SAMPLES_MIN) {
+		time->fast_ms = fast_ms;
+		time->typical_ms = fast_ms;
+		time->slow_ms = slow_ms;
+		time->sample_count = SERVICE_TIME_SAMPLES_MIN;
+		return;
+	}
+	approach(&time->fast_ms, fast_ms);
+	approach(&time->slow_ms, slow_ms);
+}
+
 void service_time_record(struct service_time *time, int64_t run_ms)
 {
 	double weight = WEIGHT_INITIAL / (1 + time->sample_count / 4.0);
--- a/src/decide/service_time.h
+++ b/src/decide/service_time.h
@@ -25,6 +25,16 @@
 /** Sets all quantiles to an initial estimate; 0 is taken as 1 ms. */
 void service_time_init(struct service_time *time, uint32_t initial_ms);
 
+/** Samples after which the quantiles are no longer mostly the first estimate. */
+#define SERVICE_TIME_SAMPLES_MIN 16
+
+/**
+ * Takes over the quantiles that another entry VM has measured. VMs that hand
+ * off all requests of a route measure none themselves.
+ */
+void service_time_adopt(struct service_time *time, uint32_t fast_ms,
+			uint32_t slow_ms);
+
 /**
  * Updates the quantiles with the service time of a request that did not wait in
  * its server's queue.
--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -219,6 +219,9 @@
 {
 	struct exchange *e = context;
 
+	service_time_adopt(&exchange_route_state(e)->time,
+			   attempt_meta(a)->service_fast_ms,
+			   attempt_meta(a)->service_slow_ms);
 	if (attempt_response_started(a) && end != ATTEMPT_OTHER_SERVER)
 		peers_record_success(get_peers(e), attempt_server(a));
 	if (e->streaming) {
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -428,6 +428,11 @@
 	return a->meta.not_run;
 }
 
+const struct response_meta *attempt_meta(const struct attempt *a)
+{
+	return &a->meta;
+}
+
 bool attempt_is_declined(const struct attempt *a)
 {
 	return a->meta.declined;
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -6,6 +6,7 @@
 #include "decide/outcome.h"
 #include "net/http_stream.h"
 #include "proxy/proxy_defs.h"
+#include "request/message_defs.h"
 
 /**
  * @file
@@ -67,6 +68,8 @@
 bool attempt_is_refused(const struct attempt *attempt);
 /** @return whether an entry VM wants this one to place the request. */
 bool attempt_is_declined(const struct attempt *attempt);
+/** @return the headers of the response, decoded; its texts are not valid. */
+const struct response_meta *attempt_meta(const struct attempt *attempt);
 
 /** Status, header lines and body of the response received so far. */
 uint16_t attempt_status(const struct attempt *attempt);
--- a/src/request/exchange_region.c
+++ b/src/request/exchange_region.c
@@ -13,8 +13,6 @@
 /* Share of the bound on a region's shift used per second; the bound applies to
  * windows of two seconds. */
 #define SHIFT_SHARE_PER_S 0.2
-/* Samples after which a service time is no longer mostly its first estimate. */
-#define SAMPLES_MIN 16
 /* Usual round trip to another region. */
 #define CROSSING_MS 70
 /* A response from another region is late if it takes this many times the usual
@@ -153,9 +151,11 @@
 	const struct service_time *route = &exchange_route_state(e)->time;
 	const struct service_time *service = &exchange_service_state(e)->time;
 
-	if (route->sample_count >= SAMPLES_MIN)
+	if (route->sample_count >= SERVICE_TIME_SAMPLES_MIN)
 		return route->fast_ms;
-	return service->sample_count >= SAMPLES_MIN ? service->fast_ms : 0;
+	return service->sample_count >= SERVICE_TIME_SAMPLES_MIN
+		       ? service->fast_ms
+		       : 0;
 }
 
 static uint64_t route_key(const struct exchange *e)
--- a/src/request/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -120,6 +120,21 @@
 					 : FRAMING_NO_BODY;
 }
 
+/* Tells the VM that handed the request off how long requests of the route run
+ * here. */
+static void add_service_time(struct exchange *e)
+{
+	const struct service_time *time;
+
+	if (!e->handed_off)
+		return;
+	time = &exchange_route_state(e)->time;
+	if (time->sample_count >= SERVICE_TIME_SAMPLES_MIN)
+		response_service_time_encode(attempt_headers(e->attempt),
+					     (uint32_t)time->fast_ms,
+					     (uint32_t)time->slow_ms);
+}
+
 void exchange_send_response(struct exchange *e)
 {
 	struct attempt *a = e->attempt;
@@ -137,6 +152,7 @@
 		histogram_add(HISTOGRAM_ANSWERED, elapsed_ms);
 		counter_add(COUNTER_ANSWERED, 1);
 	}
+	add_service_time(e);
 	caller_write_head(caller, status, attempt_headers(a),
 			  choose_framing(e, status),
 			  evbuffer_get_length(attempt_body(a)), false);
@@ -151,6 +167,7 @@
 	int64_t expected_bytes = attempt_expected_body_bytes(a);
 
 	e->streaming = true;
+	add_service_time(e);
 	caller_write_head(e->caller, attempt_status(a), attempt_headers(a),
 			  expected_bytes >= 0 ? FRAMING_CONTENT_LENGTH
 					      : FRAMING_CHUNKED,
--- a/src/request/message_defs.h
+++ b/src/request/message_defs.h
@@ -20,6 +20,10 @@
 	const char *server_id; /**< server that responded; NULL: not given */
 	bool stamped;	       /**< carries a backend server's response stamp */
 	bool not_run; /**< the server reports that it did not run the request */
+	/** An entry VM's estimates for the route, see decide/service_time.h; 0:
+	 * not given. */
+	uint32_t service_fast_ms;
+	uint32_t service_slow_ms;
 	bool declined; /**< an entry VM wants the sender to place the request */
 	bool leaving;  /**< the server reports that it will exit */
 	bool encoded; /**< has a content encoding: not the server's own bytes */
