--- a/test/unit/fake_assignment.h
+++ b/test/unit/fake_assignment.h
@@ -12,18 +12,20 @@
 static bool fake_assignment_on;
 static bool fake_assignment_own;
 
-bool __wrap_assignment_is_on(const struct assignment *assignment);
-bool __wrap_assignment_is_own_server(struct assignment *assignment,
-				     const struct server *server);
+/* the names that --wrap gives to the functions it replaces */
+bool fake_is_on(const struct assignment *assignment) __asm__(
+	"__wrap_assignment_is_on");
+bool fake_is_own_server(
+	struct assignment *assignment,
+	const struct server *server) __asm__("__wrap_assignment_is_own_server");
 
-bool __wrap_assignment_is_on(const struct assignment *assignment)
+bool fake_is_on(const struct assignment *assignment)
 {
 	(void)assignment;
 	return fake_assignment_on;
 }
 
-bool __wrap_assignment_is_own_server(struct assignment *assignment,
-				     const struct server *server)
+bool fake_is_own_server(struct assignment *assignment, const struct server *server)
 {
 	(void)assignment;
 	(void)server;
