--- a/src/decide/load.c
+++ b/src/decide/load.c
@@ -35,19 +35,37 @@
 	return share > OWN_REQUESTS_MIN ? share : OWN_REQUESTS_MIN;
 }
 
-uint32_t load_estimate(const struct load_view *load, int64_t now_ms)
+void load_record_work(struct load_view *load, uint32_t percent, int64_t now_ms)
+{
+	load->work_percent = percent;
+	load->work_reported_ms = now_ms;
+}
+
+uint32_t load_work_percent(const struct load_view *load, int64_t now_ms)
+{
+	if (!load->work_percent ||
+	    now_ms - load->work_reported_ms >= LOAD_WORK_AGE_MAX_MS)
+		return 100;
+	return load->work_percent;
+}
+
+uint32_t load_estimate_others(const struct load_view *load, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - load->reported_ms;
 	int64_t others;
 
 	if (!load->reported_ms || age_ms >= LOAD_REPORT_AGE_MAX_MS)
-		return load->own_requests;
+		return 0;
 	others = (int64_t)load->running + load->waiting -
 		 load->own_requests_at_report;
 	if (others < 0)
 		others = 0;
 	/* requests of other VMs count less as the report gets older */
-	others = others * (LOAD_REPORT_AGE_MAX_MS - age_ms) /
-		 LOAD_REPORT_AGE_MAX_MS;
-	return load->own_requests + (uint32_t)others;
+	return (uint32_t)(others * (LOAD_REPORT_AGE_MAX_MS - age_ms) /
+			  LOAD_REPORT_AGE_MAX_MS);
+}
+
+uint32_t load_estimate(const struct load_view *load, int64_t now_ms)
+{
+	return load->own_requests + load_estimate_others(load, now_ms);
 }
