feat(queue): requests wait in the VM that is assigned to their servers

**Problem:** requests that queue at a server cannot go elsewhere any more, count against its memory, and are answered late.

Retries take the same way. `place` lines get waited_ms; counters waited, refused_wait_too_long, refused_queue_full.

**Result:** exchange_own_test (8 cases: slots, callers that leave, servers that leave, evacuation, revoked configuration, deadlines, retries, exit) passes; attempt, caller, stop, stop_callers, server_limits, crash, store_sync and replay tests pass unchanged.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -65,6 +65,13 @@
 	[COUNTER_UNREADABLE_ENTRIES] = { "unreadable_entries",
 					 "values in the store that could not be "
 					 "read, each time" },
+	[COUNTER_WAITED] = { "waited", "requests that waited for a slot" },
+	[COUNTER_REFUSED_WAIT_TOO_LONG] = { "refused_wait_too_long",
+					    "requests refused because they could "
+					    "not end before their deadline" },
+	[COUNTER_REFUSED_QUEUE_FULL] = { "refused_queue_full",
+					 "requests refused because too many "
+					 "waited" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
--- a/src/fleet/servers.h
+++ b/src/fleet/servers.h
@@ -7,6 +7,8 @@
 
 #include "base/clock.h"
 #include "decide/load.h"
+#include "decide/ramp.h"
+#include "decide/recent_objects.h"
 #include "decide/sender_rank.h"
 #include "fleet/server_defs.h"
 #include "fleet/server_limit.h"
@@ -41,6 +43,8 @@
 	struct sender_rank rank;  /**< of this VM, see sender_rank_at() */
 	uint64_t rank_generation; /**< of the list of VMs that it is from */
 	struct load_view load;
+	struct ramp ramp;
+	struct recent_objects recent; /**< as its assigned VM */
 	struct server_limit limit;
 	uint32_t rtt_ms; /**< estimated round-trip time; 0: unknown */
 	uint32_t consecutive_failures; /**< reset by a success */
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "decide/object_cache.h"
 #include "decide/retry_share.h"
+#include "decide/run_time.h"
 #include "decide/service_time.h"
 #include "decide/spillover.h"
 #include "fleet/bounds_defs.h"
@@ -45,6 +46,7 @@
 /** Per-route state of this VM. */
 struct route_state {
 	struct service_time time;
+	struct run_time run_time; /**< at servers assigned to this VM */
 };
 
 struct proxy {
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "net/timer.h"
 #include "platform/header_codec.h"
+#include "queue/wait_queue.h"
 #include "request/headers.h"
 #include "request/pool.h"
 #include "sync/reach_watch.h"
@@ -85,6 +86,7 @@
 	a->finished = true;
 	unlink_from_server(a);
 	load_record_finished(&a->server->load);
+	wait_queue_on_slot_free(a->proxy->wait_queue, a->server);
 	evtimer_del(a->connect_timer);
 	a->events->done(a->context, a, end);
 }
@@ -168,6 +170,8 @@
 	else if (a->meta.not_run && a->status == 503)
 		load_record_report(&server->load, server->load.slots,
 				   server->load.slots, now_ms);
+	if (a->meta.work_percent)
+		load_record_work(&server->load, a->meta.work_percent, now_ms);
 	if (a->meta.not_run && a->status == 503 && a->meta.retry_after_ms)
 		server_record_busy(server, a->meta.retry_after_ms, now_ms);
 	if (a->meta.leaving)
@@ -341,6 +345,7 @@
 	if (!a->finished) {
 		unlink_from_server(a);
 		load_record_finished(&a->server->load);
+		wait_queue_on_slot_free(a->proxy->wait_queue, a->server);
 	}
 	if (a->connection)
 		close_connection(a);
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -366,6 +366,11 @@
 	if (server->load.waiting)
 		return;
 	elapsed_ms = MAX(elapsed_ms - server->rtt_ms, 1);
+	if (e->has_own_server)
+		run_time_record(&exchange_route_state(e)->run_time,
+				e->object_cached, elapsed_ms,
+				load_work_percent(&server->load,
+						  proxy_now_ms(e->proxy)));
 	service_time_record(&exchange_service_state(e)->time, elapsed_ms);
 	service_time_record(&exchange_route_state(e)->time, elapsed_ms);
 }
@@ -436,17 +441,29 @@
 	const char *refusal;
 	struct server *server;
 
+	e->retry_reason = retry_reason;
 	limit_deadline_to_exit(e);
 	if (handoff_start(e))
 		return;
 	server = exchange_select_server(e, retry_reason, &refusal);
-	if (!server) {
+	if (server) {
+		exchange_send(e, server);
+	} else if (refusal) {
 		counter_add(COUNTER_REFUSED_FULL, 1);
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      refusal);
-		return;
 	}
-	if (retry_reason)
+}
+
+void exchange_place_again(struct exchange *e)
+{
+	start_attempt(e, e->retry_reason);
+}
+
+void exchange_send(struct exchange *e, struct server *server)
+{
+	limit_deadline_to_exit(e);
+	if (e->retry_reason)
 		counter_add(COUNTER_RETRIES, 1);
 	e->attempt =
 		attempt_start(e->proxy, server, &e->request, &attempt_events, e);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -54,6 +54,16 @@
 	/* wait, round trip and run time expected at the selected server */
 	uint32_t expected_latency_ms;
 	uint32_t first_request_age_ms; /* since the caller's first attempt */
+	const char *retry_reason; /* outcome of the last attempt; NULL: none */
+	bool has_own_server; /* this VM is assigned to the selected server */
+	/* state of the wait queue: a server for which the request waits */
+	struct server *waits_for; /* owns a reference; NULL: does not wait */
+	bool waits_for_cached;	  /* which has the object cached */
+	uint32_t waits_for_run_ms;
+	bool must_leave_queue; /* refused, as too many wait */
+	uint64_t wait_sequence;
+	int64_t waiting_since_ms;
+	uint32_t waited_ms;  /* in all */
 	bool streaming;	     /* the response is forwarded while it arrives */
 	uint32_t wait_ms;    /* estimated when no server had room; 0: unknown */
 	bool wait_is_stated; /* no estimate: all servers pause until then */
@@ -85,13 +95,25 @@
  *
  * @param retry_reason outcome of the previous attempt, for the log; NULL for
  * the first attempt.
- * @param refusal set to a reason for the log if no server is available.
+ * @param refusal set to a reason for the log if no server is available; NULL
+ * if the request waits for one.
  * @return the server, or NULL.
  */
 struct server *exchange_select_server(struct exchange *exchange,
 				      const char *retry_reason,
 				      const char **refusal);
 
+/** Records a server as selected. */
+void exchange_record_selected(struct exchange *exchange, struct server *server,
+			      bool object_cached, uint32_t expected_latency_ms);
+
+/** Sends the request to the server that was selected. May free the exchange. */
+void exchange_send(struct exchange *exchange, struct server *server);
+
+/** Selects a server again for a request that has waited, and sends it, queues
+ * it or responds. May free the exchange. */
+void exchange_place_again(struct exchange *exchange);
+
 /** Frees an exchange without sending a response. */
 void exchange_free(struct exchange *exchange);
 
--- a/src/request/exchange_place.c
+++ b/src/request/exchange_place.c
@@ -5,6 +5,7 @@
 #include "decide/cold_share.h"
 #include "decide/place.h"
 #include "request/exchange_internal.h"
+#include "request/exchange_own.h"
 #include "sync/reach_watch.h"
 #include "sync/sender.h"
 #include "sync/server_limits.h"
@@ -281,7 +282,7 @@
 		 "away_share=%.2f rate_per_s=%.1f fast_ms=%.0f typical_ms=%u "
 		 "slow_ms=%u wait_max_ms=%u candidates=%u list_age_ms=%" PRId64
 		 " left_ms=%u must_end=%d exit_in_ms=%" PRId64
-		 " limit_per_s=%.2f again=%s",
+		 " limit_per_s=%.2f again=%s waited_ms=%u",
 		 sent ? "sent" : "not placed", e->id, e->route->name,
 		 e->service->name, e->object_hash, server ? server->id : "-",
 		 candidate->load, candidate->slots, candidate->local,
@@ -298,7 +299,7 @@
 		 server && server_limit_is_named(&server->limit)
 			 ? server->limit.known.per_s
 			 : -1,
-		 retry_reason ? retry_reason : "-");
+		 retry_reason ? retry_reason : "-", e->waited_ms);
 }
 
 static const char *refusal_text(const struct place_choice *choice,
@@ -325,12 +326,25 @@
 	request->remaining_ms = MIN(request->remaining_ms, usable_ms);
 }
 
+void exchange_record_selected(struct exchange *e, struct server *server,
+			      bool object_cached, uint32_t expected_latency_ms)
+{
+	int64_t now_ms = proxy_now_ms(e->proxy);
+
+	e->object_cached = object_cached;
+	e->expected_latency_ms = expected_latency_ms;
+	if (server->cold_until_ms > now_ms)
+		server->cold_sent_ms = now_ms;
+	server_limits_count_sent(server);
+	e->tried_servers[e->tried_count++] = server_ref(server);
+}
+
 struct server *exchange_select_server(struct exchange *e,
 				      const char *retry_reason,
 				      const char **refusal)
 {
 	int64_t now_ms = proxy_now_ms(e->proxy);
-	uint32_t count = collect_candidates(e, now_ms);
+	uint32_t count;
 	const struct service_time *time = &exchange_route_state(e)->time;
 	struct place_request request = {
 		.object_hash = e->object_hash,
@@ -344,6 +358,9 @@
 	struct place_choice choice;
 	struct server *server;
 
+	if (exchange_select_own(e, &server, refusal))
+		return server;
+	count = collect_candidates(e, now_ms);
 	if (e->proxy->stopping)
 		limit_to_shutdown(&request,
 				  ms_until(e->proxy->exit_deadline_ms, now_ms),
@@ -359,13 +376,9 @@
 		return NULL;
 	}
 	server = candidate_servers[choice.index];
-	e->object_cached = candidates[choice.index].cached;
-	e->expected_latency_ms = choice.wait_ms +
-				 candidates[choice.index].rtt_ms +
-				 request.typical_ms;
-	if (server->cold_until_ms > now_ms)
-		server->cold_sent_ms = now_ms;
-	server_limits_count_sent(server);
-	e->tried_servers[e->tried_count++] = server_ref(server);
+	e->has_own_server = false;
+	exchange_record_selected(e, server, candidates[choice.index].cached,
+				 choice.wait_ms + candidates[choice.index].rtt_ms +
+					 request.typical_ms);
 	return server;
 }
--- a/src/request/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -6,6 +6,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "platform/header_codec.h"
+#include "queue/wait_queue.h"
 #include "request/exchange_internal.h"
 #include "request/headers.h"
 #include "sync/reach_watch.h"
@@ -19,6 +20,7 @@
 {
 	uint32_t i;
 
+	wait_queue_remove(e->proxy->wait_queue, e);
 	attempt_free(e->attempt);
 	for (i = 0; i < e->tried_count; i++)
 		server_unref(e->tried_servers[i]);
--- a/src/request/message_defs.h
+++ b/src/request/message_defs.h
@@ -24,6 +24,7 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	uint32_t work_percent; /**< run time now, 100: usual; 0: not given */
 	bool has_cold;
 	uint32_t cold_left_ms;
 	uint32_t idle_timeout_ms; /**< of this connection; 0: not given */
--- /dev/null
+++ b/test/unit/request/exchange_own_test.c
@@ -0,0 +1,306 @@
+#include "assign/assignment.h"
+#include "base/counter.h"
+#include "queue/wait_queue.h"
+#include "unit/proxy/stopping_vm.h"
+
+/* Requests that wait in this VM for servers that are assigned to it. */
+
+#define SLOTS 4
+#define OWN_ANSWER "Request-Id: r1\r\nResponse-Stamp: a.b\r\n"
+#define VM_ENTRY                                                     \
+	"{\"address\":\"127.0.0.1:1\",\"failure_domain\":\"fyn-a\"," \
+	"\"handoff_address\":\"127.0.0.1:5\",\"weight\":500}"
+
+/* Requests that the server has read and not answered. */
+static GPtrArray *held;
+static uint32_t held_max;
+static uint32_t arrivals;
+static struct responder *holder;
+static struct server_entry listed;
+
+static void on_held_left(void *context)
+{
+	g_ptr_array_remove(held, context);
+}
+
+static void hold(void *context, struct responder_request *request)
+{
+	(void)context;
+	arrivals++;
+	request->on_disconnect = on_held_left;
+	request->context = request;
+	g_ptr_array_add(held, request);
+	held_max = MAX(held_max, held->len);
+}
+
+static void answer(const char *headers, int status)
+{
+	struct responder_request *request = g_ptr_array_index(held, 0);
+
+	g_ptr_array_remove_index(held, 0);
+	responder_reply(request, status, headers, NULL);
+	run_ms(30);
+}
+
+static void list_server(const char *id)
+{
+	listed.id = (char *)id;
+	servers_put(proxy.servers, &listed);
+}
+
+static void setup_own(void)
+{
+	listed = (struct server_entry){ .service = (char *)"reg",
+					.failure_domain = (char *)"fyn-a",
+					.version = (char *)"v1",
+					.slots = SLOTS };
+	setup_requests(false);
+	settings.handoff_address = (char *)"127.0.0.1:5";
+	proxy.bounds.retry_extra = 10;
+	proxy.bounds.retry_window_ms = 10000;
+	proxy.config->has_large_bodies = true;
+	vms_put(proxy.vms, "e1", VM_ENTRY, strlen(VM_ENTRY));
+	proxy.assignment = assignment_new(&proxy);
+	proxy.wait_queue = wait_queue_new(&proxy);
+	held = g_ptr_array_new();
+	held_max = arrivals = 0;
+	holder = listen_anywhere(hold, NULL, &listed.address);
+	servers_remove(proxy.servers, "s1");
+	list_server("s2");
+	run_ms(50);
+}
+
+static void discard_idle(struct server *one, void *context)
+{
+	(void)context;
+	while (one->idle)
+		pool_discard(one->idle);
+}
+
+static void teardown_own(void)
+{
+	callers_close_all(&proxy);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpint(gauge_get(GAUGE_WAITING), ==, 0);
+	run_ms(30);
+	servers_for_each(proxy.servers, discard_idle, NULL);
+	wait_queue_free(proxy.wait_queue);
+	assignment_free(proxy.assignment);
+	proxy.wait_queue = NULL;
+	proxy.assignment = NULL;
+	responder_free(holder);
+	g_ptr_array_unref(held);
+	settings.handoff_address = NULL;
+	list_server("s1");
+	teardown_requests();
+}
+
+static void send_many(int *fds, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		fds[i] = send_request();
+	run_ms(50);
+}
+
+static void close_many(const int *fds, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		close(fds[i]);
+}
+
+/* Requests that queue at a server count against its memory and its queue, and
+ * cannot go elsewhere any more. */
+static void server_gets_no_more_than_its_slots(void)
+{
+	uint64_t waited = counter_get(COUNTER_WAITED);
+	int fds[SLOTS + 2];
+	uint32_t i;
+
+	setup_own();
+	send_many(fds, SLOTS + 2);
+	g_assert_cmpuint(arrivals, ==, SLOTS);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 2);
+	g_assert_cmpuint(counter_get(COUNTER_WAITED) - waited, ==, 2);
+	for (i = 0; i < SLOTS + 2; i++)
+		answer(OWN_ANSWER, 200);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 2);
+	g_assert_cmpuint(held_max, ==, SLOTS);
+	for (i = 0; i < SLOTS + 2; i++)
+		g_assert_cmpint(take_status(fds[i]), ==, 200);
+	teardown_own();
+}
+
+/* Without large bodies, and without a handoff address, requests are sent as
+ * before. */
+static void nothing_waits_unless_enabled(void)
+{
+	int fds[SLOTS + 2];
+
+	setup_own();
+	proxy.config->has_large_bodies = false;
+	send_many(fds, SLOTS + 2);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 2);
+	close_many(fds, SLOTS + 2);
+	teardown_own();
+}
+
+/* A caller that has left must neither be sent nor keep others waiting. */
+static void caller_that_leaves_frees_its_place(void)
+{
+	int fds[SLOTS + 2];
+
+	setup_own();
+	send_many(fds, SLOTS + 2);
+	close(fds[SLOTS]);
+	run_ms(30);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 1);
+	/* a slot of one that is cancelled at the server */
+	close(fds[0]);
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 1);
+	close_many(fds + 1, SLOTS - 1);
+	close(fds[SLOTS + 1]);
+	teardown_own();
+}
+
+/* A server leaves while requests wait for it: they go to another one, here to
+ * one that is listed a moment later. */
+static void requests_of_a_leaving_server_are_placed_again(void)
+{
+	int fds[SLOTS + 1];
+
+	setup_own();
+	send_many(fds, SLOTS + 1);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 1);
+	list_server("s3");
+	listed.draining = true;
+	list_server("s2");
+	listed.draining = false;
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 1);
+	close_many(fds, SLOTS + 1);
+	teardown_own();
+}
+
+/* With the failure domain evacuated, or the configuration revoked, a request
+ * would wait for ever. */
+static void requests_without_servers_are_answered(void)
+{
+	int fds[SLOTS + 1];
+
+	setup_own();
+	send_many(fds, SLOTS + 1);
+	g_hash_table_add(proxy.evacuated, (char *)"fyn-a");
+	servers_mark_changed(proxy.servers);
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpint(take_status(fds[SLOTS]), ==, 503);
+	close_many(fds, SLOTS);
+	teardown_own();
+
+	setup_own();
+	send_many(fds, SLOTS + 1);
+	proxy.config->has_large_bodies = false;
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 1);
+	close_many(fds, SLOTS + 1);
+	teardown_own();
+}
+
+/* A wait that is too long for the deadline is refused as not run, on arrival or
+ * once it has become so. */
+static void hopeless_requests_are_refused(void)
+{
+	int fds[SLOTS + 60];
+	uint32_t refused = 0;
+	uint32_t i;
+
+	setup_own();
+	proxy.config->routes[0].timeout_ms = 2000;
+	send_many(fds, SLOTS + 60);
+	g_assert_cmpuint(arrivals, ==, SLOTS);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), >, 0);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), <, 20);
+	for (i = SLOTS; i < SLOTS + 60; i++) {
+		char byte;
+
+		if (recv(fds[i], &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+			continue;
+		g_assert_cmpint(take_status(fds[i]), ==, 503);
+		fds[i] = -1;
+		refused++;
+	}
+	g_assert_cmpuint(refused + wait_queue_length(proxy.wait_queue), ==, 60);
+	run_ms(2000);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	for (i = SLOTS; i < SLOTS + 60; i++)
+		if (fds[i] >= 0)
+			g_assert_cmpint(take_status(fds[i]), ==, 503);
+	g_assert_cmpuint(arrivals, ==, SLOTS);
+	close_many(fds, SLOTS);
+	teardown_own();
+}
+
+/* A retry goes to another server of this VM, within its slots. */
+static void retry_waits_for_another_server(void)
+{
+	int fds[2 * SLOTS];
+	uint32_t i;
+
+	setup_own();
+	list_server("s3");
+	send_many(fds, 2 * SLOTS);
+	g_assert_cmpuint(arrivals, ==, 2 * SLOTS);
+	answer("Request-Id: r1\r\nNot-Executed: 1\r\n", 503);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 1);
+	/* its first server has a free slot, which it must not use again */
+	for (i = 0; i < 2 * SLOTS; i++)
+		answer(OWN_ANSWER, 200);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	for (i = 0; i < 2 * SLOTS; i++)
+		g_assert_cmpint(take_status(fds[i]), ==, 200);
+	teardown_own();
+}
+
+/* A process that exits tells waiting callers that nothing has run. */
+static void waiting_requests_are_answered_at_exit(void)
+{
+	struct stop *stop;
+	int fds[SLOTS + 1];
+	int status;
+
+	setup_own();
+	send_many(fds, SLOTS + 1);
+	stop = stop_new(&proxy);
+	raise(SIGTERM);
+	g_assert_true(run_ms(SHORT_EXIT_MS + 500));
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpuint(arrivals, ==, SLOTS);
+	status = take_status(fds[SLOTS]);
+	g_assert_cmpint(status, ==, 503);
+	close_many(fds, SLOTS);
+	stop_free(stop);
+	teardown_own();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions(); /* each test is counted by itself */
+	ADD_TEST("exchange_own", server_gets_no_more_than_its_slots);
+	ADD_TEST("exchange_own", nothing_waits_unless_enabled);
+	ADD_TEST("exchange_own", caller_that_leaves_frees_its_place);
+	ADD_TEST("exchange_own", requests_of_a_leaving_server_are_placed_again);
+	ADD_TEST("exchange_own", requests_without_servers_are_answered);
+	ADD_TEST("exchange_own", hopeless_requests_are_refused);
+	ADD_TEST("exchange_own", retry_waits_for_another_server);
+	ADD_TEST("exchange_own", waiting_requests_are_answered_at_exit);
+	return g_test_run();
+}
