--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -84,7 +84,7 @@
 	const struct wait_entry entry = {
 		.workspace =
 			workspace ? XXH3_64bits(workspace, strlen(workspace)) : 0,
-		.sequence = e->wait_sequence,
+		.sequence = e->wait_sequence ? e->wait_sequence : UINT64_MAX,
 		.rank = exchange_priority(e),
 		.run_ms = run_ms,
 		.finish_ms = (uint32_t)(run_ms * (1 + RUN_MARGIN)),
@@ -152,13 +152,15 @@
 {
 	struct service_queue *service =
 		queue ? find_service(queue, e->service->name) : NULL;
-	const struct service_time *time = &exchange_route_state(e)->time;
+	const struct route_state *state = exchange_route_state(e);
+	const bool cached = own_view_has_cached(ahead, e);
+	uint32_t run_ms;
 	uint32_t position;
 
 	if (!service || !service->waiting->len)
 		return;
-	position = sort_with(queue, service,
-			     make_entry(e, 0, (uint32_t)time->fast_ms, true));
+	run_ms = run_time_expected_ms(&state->run_time, &state->time, cached);
+	position = sort_with(queue, service, make_entry(e, 0, run_ms, cached));
 	while (position)
 		own_view_add_waiting(ahead, waiting_at(service, --position));
 }
@@ -254,6 +256,7 @@
 	service = get_or_create_service(queue, e);
 	e->wait_sequence = ++queue->sequence;
 	if (!admit(queue, service, e, own, choice, &refused)) {
+		e->wait_sequence = 0;
 		counter_add(COUNTER_REFUSED_QUEUE_FULL, 1);
 		return "queue-full";
 	}
@@ -284,6 +287,7 @@
 	server_unref(e->waits_for);
 	e->waits_for = NULL;
 	e->must_leave_queue = false;
+	e->wait_sequence = 0;
 	e->waited_ms +=
 		(uint32_t)(proxy_now_ms(queue->proxy) - e->waiting_since_ms);
 	queue->length--;
--- a/src/request/exchange_own.c
+++ b/src/request/exchange_own.c
@@ -121,6 +121,17 @@
 	}
 }
 
+bool own_view_has_cached(const struct own_view *own, const struct exchange *e)
+{
+	uint32_t i;
+
+	for (i = 0; e->has_object && i < own->count; i++)
+		if (recent_objects_contain(&own->servers[i]->recent,
+					   e->object_hash))
+			return true;
+	return false;
+}
+
 int64_t exchange_target_ms(const struct exchange *e)
 {
 	return e->started_ms - e->first_request_age_ms +
--- a/src/request/exchange_own.h
+++ b/src/request/exchange_own.h
@@ -28,6 +28,10 @@
 /** Counts a waiting request as one that goes before those chosen for later. */
 void own_view_add_waiting(struct own_view *view, const struct exchange *waiting);
 
+/** @return whether one of the servers has the request's object cached. */
+bool own_view_has_cached(const struct own_view *view,
+			 const struct exchange *exchange);
+
 /** Chooses a server for a request. */
 struct finish_choice own_view_choose(struct own_view *view,
 				     const struct exchange *exchange);
--- a/test/unit/decide/wait_order_test.c
+++ b/test/unit/decide/wait_order_test.c
@@ -378,6 +378,9 @@
 			       total_in_time() / (CAPACITY_PER_S * SECONDS));
 		g_assert_cmpfloat(in_time_share(&sim.tallies[0]), >=, 0.95);
 		g_assert_cmpfloat(in_time_share(&sim.tallies[1]), >=, 0.15);
+		/* refused at once, not after a wait */
+		g_assert_cmpuint(sim.tallies[1].refused_after_wait, <=,
+				 0.2 * sim.tallies[1].refused);
 		g_assert_cmpfloat(total_in_time(), >=,
 				  0.85 * CAPACITY_PER_S * SECONDS);
 		teardown();
