--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -256,6 +256,14 @@
 	return e->attempt != NULL;
 }
 
+/* @return whether it is decided in which region the request runs. */
+static bool has_region(const struct exchange *e)
+{
+	if (e->region)
+		return true;
+	return !e->spilled_over && exchange_allows_region(e, e->proxy->region);
+}
+
 static bool counts_for_sender(const struct exchange *e)
 {
 	return g_str_hash(e->id) % SENDER_RETRY_SHARE == 0;
@@ -272,8 +280,7 @@
 	if (!proxy->handoff || !e->handoff_head || !e->route ||
 	    !assignment_is_on(proxy->assignment))
 		return false;
-	/* which of the other regions it goes to is not decided */
-	if (e->spilled_over && !e->region)
+	if (!has_region(e))
 		return false;
 	vm = find_vm(e);
 	if (!vm || !send_to(e, peers_get(proxy->handoff->peers, vm)))
