feat(region): refused requests go on to another region; refusals raise the demand

**Problem**: a small region refused requests while others had room, because the share of objects that leave moves slowly. Servers that were listed late at the first start got one request at a time. **Solution**: a request that finds no room may go on to another region once, within a bound; refusals raise the estimated demand. Only servers with a cold time start with a ramp.

--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -29,6 +29,16 @@
 #define ORDER_HYSTERESIS 0.25
 /* Number of classes by room, each twice as much room as the next. */
 #define ROOM_CLASSES 8
+/* Fractions of the requests that are refused at which the demand is taken for
+ * higher than estimated, and as it is estimated. */
+#define REFUSED_HIGH 0.03
+#define REFUSED_LOW 0.01
+#define PRESSURE_RISE_PER_S 0.2
+#define PRESSURE_FALL_PER_S 0.03
+#define PRESSURE_MAX 2.0
+/* Fraction of the requests that may go on to another region after a refusal.
+ * With what the shares move in two seconds, it is less than the limit. */
+#define ELSEWHERE_SHARE 0.06
 /* Makes the hash independent of those that rank servers and VMs. */
 #define OBJECT_SEED 0x5b111
 
@@ -109,6 +119,16 @@
 	return route->count * MS_PER_S / (share->weighted_ms + 1);
 }
 
+static double count_sum(const struct region_share *share)
+{
+	double count = 0;
+	uint32_t i;
+
+	for (i = 0; i < share->route_count; i++)
+		count += share->routes[i].count;
+	return fmax(count, 1e-9);
+}
+
 /* The region's demand of a route, in slots. */
 static double route_demand(const struct region_share *share,
 			   const struct region_share_view *view,
@@ -141,6 +161,8 @@
 
 	for (i = 0; i < share->route_count; i++)
 		share->routes[i].count *= decay;
+	share->refused *= decay;
+	share->elsewhere *= decay;
 	share->weighted_ms =
 		share->weighted_ms * decay + RATE_TIME_CONSTANT_MS * (1 - decay);
 	route->count++;
@@ -149,6 +171,19 @@
 	route->order = order_of(route, request, view);
 }
 
+/* Servers that are slow, or objects that are not cached, need more slots than
+ * the demand says: refusals show it. */
+static void update_pressure(struct region_share *share, double elapsed_s)
+{
+	const double refused = share->refused / count_sum(share);
+
+	if (refused > REFUSED_HIGH)
+		share->pressure += PRESSURE_RISE_PER_S * elapsed_s;
+	else if (refused < REFUSED_LOW)
+		share->pressure -= PRESSURE_FALL_PER_S * elapsed_s;
+	share->pressure = region_share_clamp(share->pressure, 1, PRESSURE_MAX);
+}
+
 static void estimate_demand(struct region_share *share,
 			    const struct region_share_view *view,
 			    double elapsed_ms, int64_t now_ms)
@@ -158,6 +193,8 @@
 
 	for (i = 0; i < share->route_count; i++)
 		demand += route_demand(share, view, &share->routes[i]);
+	update_pressure(share, elapsed_ms / MS_PER_S);
+	demand *= share->pressure;
 	if (!share->usual_demand)
 		share->usual_demand = demand;
 	share->usual_demand += (demand - share->usual_demand) *
@@ -171,6 +208,19 @@
 	share->demand = demand;
 }
 
+void region_share_record_refusal(struct region_share *share)
+{
+	share->refused++;
+}
+
+bool region_share_admit_elsewhere(struct region_share *share)
+{
+	if (share->elsewhere + 1 > ELSEWHERE_SHARE * count_sum(share) + 1)
+		return false;
+	share->elsewhere++;
+	return true;
+}
+
 /* The demand that may leave: this region's part of the other regions' spare
  * slots, which other full regions need as well. */
 static double demand_allowed(const struct region_share *share, double overflow,
@@ -221,9 +271,9 @@
 
 		for (i = 0; i < share->route_count; i++)
 			if (share->routes[i].order == order)
-				demand +=
-					factor * route_demand(share, view,
-							      &share->routes[i]);
+				demand += factor * share->pressure *
+					  route_demand(share, view,
+						       &share->routes[i]);
 		if (demand > 0) {
 			part = region_share_clamp(left / demand, 0, 1);
 			left = part < 1 ? 0 : left - demand;
@@ -236,16 +286,6 @@
 		shares[i] = 1;
 }
 
-static double count_sum(const struct region_share *share)
-{
-	double count = 0;
-	uint32_t i;
-
-	for (i = 0; i < share->route_count; i++)
-		count += share->routes[i].count;
-	return fmax(count, 1e-9);
-}
-
 /* Moves the shares into the range between `low` and `high`, all together by no
  * more requests than allowed.
  *
--- a/src/decide/region_share.h
+++ b/src/decide/region_share.h
@@ -58,6 +58,10 @@
 	uint32_t local_slots;	 /**< at the previous request */
 	int64_t began_ms;
 	int64_t counted_ms; /**< 0: no request so far */
+	/** Factor of the demand, at least 1: rises while this region refuses. */
+	double pressure;
+	double refused;	  /**< exponentially decayed number of refusals */
+	double elsewhere; /**< the same of requests that went on elsewhere */
 };
 
 struct region_share_region {
@@ -116,6 +120,16 @@
 		    bool (*allowed)(const char *region, const void *context),
 		    const void *context);
 
+/** Records that this region had no room for a request. */
+void region_share_record_refusal(struct region_share *share);
+
+/**
+ * Decides whether a request that a region has refused for lack of room may go
+ * on to another one, and counts it if so. The number is limited, because the
+ * fraction of requests that changes region in a window is.
+ */
+bool region_share_admit_elsewhere(struct region_share *share);
+
 /** Records how a request ended that was sent to another region. */
 void region_share_record_end(struct region_share *share, const char *region,
 			     enum region_share_end end, int64_t now_ms);
--- a/src/fleet/servers.c
+++ b/src/fleet/servers.c
@@ -227,8 +227,6 @@
 			 is_new);
 	server->draining = entry->draining;
 	server->missing = false;
-	if (is_new && servers->logs_changes)
-		ramp_begin(&server->ramp, now_ms, 0);
 	if (entry->cold_left_ms)
 		server_record_cold(server, entry->cold_left_ms, now_ms);
 }
--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -129,6 +129,12 @@
 		place_not_run(e, "declined");
 		return;
 	}
+	if (exchange_choose_elsewhere(e)) {
+		attempt_free(e->attempt);
+		e->attempt = NULL;
+		exchange_place_again(e);
+		return;
+	}
 	if (!outcome_status_means_not_run(attempt_status(e->attempt)))
 		e->worst_verdict = VERDICT_MAY_HAVE_RUN;
 	if (e->worst_verdict == VERDICT_NOT_RUN)
@@ -222,6 +228,7 @@
 	service_time_adopt(&exchange_route_state(e)->time,
 			   attempt_meta(a)->service_fast_ms,
 			   attempt_meta(a)->service_slow_ms);
+	exchange_record_region_end(e, e->region, end == ATTEMPT_REFUSED);
 	if (attempt_response_started(a) && end != ATTEMPT_OTHER_SERVER)
 		peers_record_success(get_peers(e), attempt_server(a));
 	if (e->streaming) {
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -58,8 +58,9 @@
 	bool counts_for_retry_share; /* has been counted */
 	/* region in which it should run, interned; NULL: not chosen */
 	const char *region;
-	bool spilled_over;  /* should run in another region */
-	bool object_cached; /* the selected server has the object cached */
+	bool spilled_over;    /* should run in another region */
+	bool tried_elsewhere; /* a region without room refused it */
+	bool object_cached;   /* the selected server has the object cached */
 	/* wait, round trip and run time expected at the selected server */
 	uint32_t expected_latency_ms;
 	uint32_t first_request_age_ms; /* since the caller's first attempt */
@@ -134,14 +135,12 @@
 				const char *region, bool refused);
 
 /**
- * Records how a request ended that was handed off to a VM of its region. A VM
- * that hands everything off learns the service times from this alone.
+ * Chooses another region for a request that was refused for lack of room, if it
+ * may run there and there is time.
  *
- * @param refused for lack of room.
- * @param rtt_ms round trip to the other VM; 0: unknown.
+ * @return whether the request should be placed again.
  */
-void exchange_record_handoff(const struct exchange *exchange, bool refused,
-			     int64_t elapsed_ms, uint32_t rtt_ms);
+bool exchange_choose_elsewhere(struct exchange *exchange);
 
 /** Adjusts the pace of a server that has started or recovered. */
 void exchange_record_ramp(const struct exchange *exchange, struct server *server,
@@ -171,6 +170,13 @@
  * it or responds. May free the exchange. */
 void exchange_place_again(struct exchange *exchange);
 
+/** The timer of an exchange, which is the `context`, has expired. */
+void exchange_on_deadline(evutil_socket_t fd, short what, void *context);
+
+/** Records that a server did not respond in time. */
+void exchange_record_timeout(const struct exchange *exchange,
+			     struct server *server, int64_t elapsed_ms);
+
 /** Frees an exchange without sending a response. */
 void exchange_free(struct exchange *exchange);
 
--- a/src/request/exchange_region.c
+++ b/src/request/exchange_region.c
@@ -13,6 +13,8 @@
 /* Share of the bound on a region's shift used per second; the bound applies to
  * windows of two seconds. */
 #define SHIFT_SHARE_PER_S 0.2
+/* The same with assigned VMs, whose VMs estimate the same demand. */
+#define ASSIGNED_SHIFT_SHARE_PER_S 0.3
 /* Usual round trip to another region. */
 #define CROSSING_MS 70
 /* A response from another region is late if it takes this many times the usual
@@ -138,7 +140,7 @@
 	regions->view.region_vms =
 		MAX(vms_count_in_region(proxy->vms, proxy->region), 1);
 	regions->view.shift_max_per_s =
-		proxy->bounds.shift_max * SHIFT_SHARE_PER_S;
+		proxy->bounds.shift_max * ASSIGNED_SHIFT_SHARE_PER_S;
 	list_other_regions(proxy, regions);
 	for (i = 0; i < list->len; i++)
 		add_server(proxy, g_ptr_array_index(list, i), regions, fast_ms,
@@ -282,13 +284,36 @@
 				region, end, now_ms);
 }
 
-void exchange_record_handoff(const struct exchange *e, bool refused,
-			     int64_t elapsed_ms, uint32_t rtt_ms)
+static bool allows_other_region(const char *region, const void *context)
 {
-	exchange_record_region_end(e, e->region, refused);
-	if (refused)
-		return;
-	elapsed_ms = MAX(elapsed_ms - rtt_ms, 1);
-	service_time_record(&exchange_service_state(e)->time, elapsed_ms);
-	service_time_record(&exchange_route_state(e)->time, elapsed_ms);
+	const struct exchange *e = context;
+
+	return region != e->region && exchange_allows_region(e, region);
+}
+
+bool exchange_choose_elsewhere(struct exchange *e)
+{
+	struct region_share *share = &exchange_service_state(e)->region_share;
+	const struct service_time *time = &exchange_route_state(e)->time;
+	const int64_t left_ms = e->deadline_ms - proxy_now_ms(e->proxy);
+	const char *region;
+
+	if (e->handed_off || e->tried_elsewhere || !e->region ||
+	    !assignment_is_on(e->proxy->assignment))
+		return false;
+	if (e->region == e->proxy->region)
+		region_share_record_refusal(share);
+	if (e->worst_verdict != VERDICT_NOT_RUN || has_home_regions(e) ||
+	    left_ms < CROSSING_MS + (int64_t)time->slow_ms)
+		return false;
+	region = region_share_select(share, e->object_hash, allows_other_region,
+				     e);
+	if (!region || !region_share_admit_elsewhere(share))
+		return false;
+	e->tried_elsewhere = true;
+	e->region = region;
+	e->spilled_over = true;
+	e->handoff_decided = false;
+	counter_add(COUNTER_CROSSED_REGION, 1);
+	return true;
 }
