--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -16,8 +16,11 @@
 #define PEAK_PERIOD_MS 36000
 /* Observation time before the estimated demand is used. */
 #define SETTLE_MS 2000
+/* Shares fall this much slower than they rise. An object that returns finds its
+ * server without it, and a crossing costs less than a queue at the next wave. */
+#define FALL_FRACTION 0.1
 /* Utilization of all slots that is assumed before the demand is known. */
-#define UTILIZATION_ASSUMED 0.4
+#define UTILIZATION_ASSUMED 0.5
 /* Round trip to another region before it is measured. */
 #define RTT_ASSUMED_MS 70
 /* Slack before the target latency that a crossing needs, in round trips. */
@@ -38,7 +41,7 @@
 #define PRESSURE_MAX 2.0
 /* Fraction of the requests that may go on to another region after a refusal.
  * With what the shares move in two seconds, it is less than the limit. */
-#define ELSEWHERE_SHARE 0.06
+#define ELSEWHERE_SHARE 0.05
 /* Makes the hash independent of those that rank servers and VMs. */
 #define OBJECT_SEED 0x5b111
 
@@ -346,7 +349,8 @@
 		   high);
 	for (i = 0; i < share->route_count; i++)
 		high[i] = fmax(high[i], low[i]);
-	move_shares(share, low, high, step + part_of_loss(share, view), step);
+	move_shares(share, low, high, step + part_of_loss(share, view),
+		    step * FALL_FRACTION);
 }
 
 /* Before the demand is known: assumes that it is the same in all regions.
