feat(queue): place requests elsewhere while all own servers pause; status

**Problem:** servers of a failure domain that start cold together take a few requests a second; what cannot wait for them was refused, though servers of other domains had free slots. Operators could not see to which servers a VM sends.

**Solution:** a request that cannot wait for own servers that all pause is placed directly. /status lists `own_servers` and `waiting` while servers are assigned. The allowance of cold servers is that of sender_rank_at(). A refused caller is asked to return after 5 s at most.

--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -6,8 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "assign/assignment.h"
 #include "base/build.h"
 #include "base/log.h"
+#include "queue/wait_queue.h"
 #include "sync/reach_watch.h"
 #include "sync/server_limits.h"
 #include "sync/store_sync.h"
@@ -57,6 +59,36 @@
 	return limited.list;
 }
 
+/* The servers to which this VM alone sends. */
+static json_t *encode_own_servers(const struct proxy *proxy)
+{
+	json_t *list = json_array();
+	uint32_t i;
+	guint k;
+
+	for (i = 0; proxy->config && i < proxy->config->service_count; i++) {
+		const GPtrArray *own =
+			assignment_own_servers(proxy->assignment,
+					       proxy->config->services[i].name);
+
+		for (k = 0; own && k < own->len; k++) {
+			const struct server *server = g_ptr_array_index(own, k);
+
+			json_array_append_new(list, json_string(server->id));
+		}
+	}
+	return list;
+}
+
+static void add_assignment(const struct proxy *proxy, json_t *root)
+{
+	if (!root || !assignment_is_on(proxy->assignment))
+		return;
+	json_object_set_new(root, "own_servers", encode_own_servers(proxy));
+	json_object_set_new(root, "waiting",
+			    json_integer(wait_queue_length(proxy->wait_queue)));
+}
+
 void status_write(const struct proxy *proxy, struct evbuffer *out)
 {
 	const struct config *config = proxy->config;
@@ -82,6 +114,7 @@
 			 reach_watch_is_cut_off(proxy->reach), "build",
 			 build_commit(), "vms", encode_vms(proxy),
 			 "servers_limited", encode_limited(proxy));
+	add_assignment(proxy, root);
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
 		evbuffer_add(out, text, strlen(text));
--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -13,6 +13,9 @@
 /* Interval at which requests that wait are placed again: servers' pauses and
  * reports end, servers leave, and requests become too late without an event. */
 #define CHECK_INTERVAL_MS 20
+/* Longest time after which a refused caller is asked to return: a wait beyond
+ * it is a guess, as load changes within seconds. */
+#define REFUSED_WAIT_MAX_MS 5000
 /* A request counts as able to meet its target with this part of its run time to
  * spare, as half of the runs take longer than the mean. */
 #define RUN_MARGIN 0.25
@@ -257,7 +260,7 @@
 	e->wait_sequence = ++queue->sequence;
 	if (!admit(queue, service, e, own, choice, &refused)) {
 		e->wait_sequence = 0;
-		counter_add(COUNTER_REFUSED_QUEUE_FULL, 1);
+		e->wait_ms = MIN(e->wait_ms, REFUSED_WAIT_MAX_MS);
 		return "queue-full";
 	}
 	set_server(e, own->servers[choice->index], choice->run_ms,
@@ -342,7 +345,8 @@
 			send_waiting(queue, service, count, i, &choice);
 			return true;
 		}
-		if (choice.result == FINISH_NO_SERVER) {
+		if (choice.result == FINISH_NO_SERVER ||
+		    (choice.result == FINISH_TOO_LATE && view.is_paused)) {
 			wait_queue_remove(queue, e);
 			exchange_place_again(e);
 			return true;
--- a/src/request/exchange_own.c
+++ b/src/request/exchange_own.c
@@ -19,35 +19,19 @@
 /* Static because all selections run on the event loop's only thread. */
 static struct own_view selection;
 
-/* @return whether an entry VM of the previous build, which sends directly, may
- * send to cold servers too. */
-static bool has_direct_senders(const struct proxy *proxy)
-{
-	const GPtrArray *all = vms_all(proxy->vms);
-	guint i;
-
-	for (i = 0; i < all->len; i++)
-		if (!((const struct vm *)g_ptr_array_index(all, i))->has_handoff)
-			return true;
-	return false;
-}
-
-/* @return the time until a cold server may get a request; UINT32_MAX: none
- * while it is cold. The assigned VM has the whole allowance of the fleet. */
+/* @return the time until a cold server may get a request of this VM; while this
+ * VM is not one of its senders, until it is warm. */
 static uint32_t cold_pause_ms(const struct proxy *proxy,
 			      const struct service *service,
 			      struct server *server, int64_t now_ms)
 {
-	static const struct sender_rank only_sender = { .local = true,
-							.local_count = 1 };
 	const struct bounds *bounds = &proxy->bounds;
-	const struct sender_rank *rank = &only_sender;
+	const struct sender_rank *rank;
 	uint32_t interval_ms;
 
 	if (server->cold_until_ms <= now_ms)
 		return 0;
-	if (has_direct_senders(proxy))
-		rank = sender_rank_at(proxy, server);
+	rank = sender_rank_at(proxy, server);
 	interval_ms = rank ? cold_share_min_interval_ms(
 				     rank, service->cold_requests_per_s *
 							   bounds->cold_factor +
@@ -82,6 +66,7 @@
 		return;
 	view->servers[view->count++] = server;
 	view->slots += state->window;
+	view->is_paused &= state->pause_ms > 0;
 	view->has_free_slot |=
 		!state->pause_ms &&
 		state->own_requests + state->others < state->window;
@@ -98,6 +83,7 @@
 	view->count = 0;
 	view->slots = 0;
 	view->has_free_slot = false;
+	view->is_paused = true;
 	for (i = 0; own && i < own->len && view->count < OWN_SERVERS_MAX; i++) {
 		struct server *server = g_ptr_array_index(own, i);
 
@@ -254,7 +240,9 @@
 	own_view_collect(&selection, e->proxy, e->service);
 	wait_queue_add_ahead(e->proxy->wait_queue, e, &selection);
 	choice = own_view_choose(&selection, e);
-	if (choice.result == FINISH_NO_SERVER)
+	/* what servers that pause cannot take is placed at those of others */
+	if (choice.result == FINISH_NO_SERVER ||
+	    (choice.result == FINISH_TOO_LATE && selection.is_paused))
 		return false;
 	if (choice.result == FINISH_TOO_LATE) {
 		log_own(e, "is not placed", NULL, &choice, false);
@@ -271,6 +259,10 @@
 		return true;
 	}
 	*refusal = wait_queue_add(e->proxy->wait_queue, e, &selection, &choice);
+	if (*refusal && selection.is_paused)
+		return false;
+	if (*refusal)
+		counter_add(COUNTER_REFUSED_QUEUE_FULL, 1);
 	log_own(e, *refusal ? "is not placed" : "waits", *server, &choice,
 		cached);
 	*server = NULL;
--- a/src/request/exchange_own.h
+++ b/src/request/exchange_own.h
@@ -19,6 +19,7 @@
 	uint32_t count;
 	uint32_t slots; /**< of all of them, as far as their windows are open */
 	bool has_free_slot;
+	bool is_paused; /**< none of them takes a request at the moment */
 };
 
 /** Fills a view, which is valid until the servers or requests change. */
--- a/test/unit/request/exchange_own_test.c
+++ b/test/unit/request/exchange_own_test.c
@@ -214,6 +214,37 @@
 	teardown_own();
 }
 
+/* All servers of a failure domain start cold together, or ask for a pause,
+ * while those of another have free slots. */
+static void pausing_servers_do_not_hold_requests(void)
+{
+	struct server *own;
+	int fd;
+
+	setup_own();
+	listed.failure_domain = (char *)"jyl-a";
+	list_server("s9");
+	listed.failure_domain = (char *)"fyn-a";
+	own = servers_find(proxy.servers, "s2");
+	server_record_busy(own, 30000, clock_now_ms(&now));
+	fd = send_request();
+	run_ms(50);
+	g_assert_cmpuint(arrivals, ==, 1);
+	g_assert_cmpuint(own->load.own_requests, ==, 0);
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	/* for a short pause it is faster to wait */
+	own->busy_until_ms = clock_now_ms(&now) + 100;
+	fd = send_request();
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 1);
+	run_ms(100);
+	g_assert_cmpuint(own->load.own_requests, ==, 1);
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	teardown_own();
+}
+
 /* A wait that is too long for the deadline is refused as not run, on arrival or
  * once it has become so. */
 static void hopeless_requests_are_refused(void)
@@ -299,6 +330,7 @@
 	ADD_TEST("exchange_own", caller_that_leaves_frees_its_place);
 	ADD_TEST("exchange_own", requests_of_a_leaving_server_are_placed_again);
 	ADD_TEST("exchange_own", requests_without_servers_are_answered);
+	ADD_TEST("exchange_own", pausing_servers_do_not_hold_requests);
 	ADD_TEST("exchange_own", hopeless_requests_are_refused);
 	ADD_TEST("exchange_own", retry_waits_for_another_server);
 	ADD_TEST("exchange_own", waiting_requests_are_answered_at_exit);
