fix(queue): requests that are evicted from the queue do not count any more

**Problem:** a request that must leave for a more urgent one stayed among the entries until the event loop came to it: several arrivals in one turn of the loop evicted the same one, and more than 2,000 could wait, beyond the array of entries. Work sent while nothing waited did not count for the estimate of later arrivals.

**Solution:** what must leave is not sorted and not counted; it is refused first, with the time that the rest of the queue takes. Work is counted whenever a service has had a queue.

**Result:** exchange_own_test (10 cases, the new one evicts late requests for those in time) passes with the address and undefined-behavior sanitizers.

--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -20,6 +20,9 @@
  * spare, as half of the runs take longer than the mean. */
 #define RUN_MARGIN 0.25
 
+/* Index of the entry of a request that does not wait yet. */
+#define NOT_WAITING UINT32_MAX
+
 /* The requests that wait for servers of a service. */
 struct service_queue {
 	char *name;
@@ -33,6 +36,7 @@
 	struct event *check;
 	struct event *dispatch; /* pending after a slot became free */
 	uint32_t length;
+	uint32_t leaving_count; /* of these, with `must_leave_queue` */
 	uint64_t sequence;
 };
 
@@ -100,33 +104,37 @@
 	return entry;
 }
 
-/* Fills `entries`. @return their number. */
+/* Fills `entries`, without the requests that must leave. @return their number. */
 static uint32_t collect_entries(const struct service_queue *service)
 {
+	uint32_t count = 0;
 	guint i;
 
 	for (i = 0; i < service->waiting->len; i++) {
 		const struct exchange *e = g_ptr_array_index(service->waiting, i);
 
-		entries[i] = make_entry(e, i, e->waits_for_run_ms,
-					e->waits_for_cached);
+		if (!e->must_leave_queue)
+			entries[count++] = make_entry(e, i, e->waits_for_run_ms,
+						      e->waits_for_cached);
 	}
-	return service->waiting->len;
+	return count;
 }
 
-/* Adds an entry that does not wait. @return its position once sorted. */
-static uint32_t sort_with(struct wait_queue *queue,
-			  struct service_queue *service, struct wait_entry entry)
+/* Sorts what waits and a request that does not yet.
+ *
+ * @param count set to the number of entries.
+ * @return the position of the request. */
+static uint32_t sort_with(struct wait_queue *queue, struct service_queue *service,
+			  const struct wait_entry *entry, uint32_t *count)
 {
-	const uint32_t count = collect_entries(service);
-	uint32_t position;
+	uint32_t position = 0;
 
-	entry.index = count;
-	entries[count] = entry;
-	wait_order_sort(service->order, entries, count + 1,
+	*count = collect_entries(service);
+	entries[(*count)++] = *entry;
+	wait_order_sort(service->order, entries, *count,
 			proxy_now_ms(queue->proxy));
-	for (position = 0; entries[position].index != count; position++)
-		;
+	while (entries[position].index != NOT_WAITING)
+		position++;
 	return position;
 }
 
@@ -157,13 +165,17 @@
 		queue ? find_service(queue, e->service->name) : NULL;
 	const struct route_state *state = exchange_route_state(e);
 	const bool cached = own_view_has_cached(ahead, e);
-	uint32_t run_ms;
+	struct wait_entry entry;
 	uint32_t position;
+	uint32_t count;
 
 	if (!service || !service->waiting->len)
 		return;
-	run_ms = run_time_expected_ms(&state->run_time, &state->time, cached);
-	position = sort_with(queue, service, make_entry(e, 0, run_ms, cached));
+	entry = make_entry(e, NOT_WAITING,
+			   run_time_expected_ms(&state->run_time, &state->time,
+						cached),
+			   cached);
+	position = sort_with(queue, service, &entry, &count);
 	while (position)
 		own_view_add_waiting(ahead, waiting_at(service, --position));
 }
@@ -173,16 +185,19 @@
 {
 	struct service_queue *service =
 		queue ? find_service(queue, e->service->name) : NULL;
+	const struct wait_entry entry = make_entry(e, NOT_WAITING, run_ms, true);
+	const int64_t now_ms = proxy_now_ms(queue ? queue->proxy : e->proxy);
 	uint32_t position;
+	uint32_t count;
 
+	if (!service)
+		return;
+	wait_order_record_admitted(service->order, &entry, now_ms);
 	/* while nothing waits, no workspace is kept from its share */
-	if (!service || !service->waiting->len)
+	if (!service->waiting->len)
 		return;
-	position = sort_with(queue, service, make_entry(e, 0, run_ms, true));
-	wait_order_record_admitted(service->order, &entries[position],
-				   proxy_now_ms(queue->proxy));
-	wait_order_record_sent(service->order, entries, service->waiting->len + 1,
-			       position, proxy_now_ms(queue->proxy));
+	position = sort_with(queue, service, &entry, &count);
+	wait_order_record_sent(service->order, entries, count, position, now_ms);
 }
 
 static void set_server(struct exchange *e, struct server *server,
@@ -221,10 +236,11 @@
 		  const struct finish_choice *choice, struct exchange **refused)
 {
 	const int64_t now_ms = proxy_now_ms(queue->proxy);
-	const uint32_t count = service->waiting->len + 1;
-	struct wait_entry entry = make_entry(e, 0, choice->run_ms,
+	struct wait_entry entry = make_entry(e, NOT_WAITING, choice->run_ms,
 					     own->states[choice->index].cached);
-	uint32_t position = sort_with(queue, service, entry);
+	uint32_t count;
+	uint32_t position = sort_with(queue, service, &entry, &count);
+	uint32_t staying = queue->length - queue->leaving_count;
 	uint32_t excess;
 
 	e->wait_ms = wait_order_wait_ms(service->order, entries, position,
@@ -233,9 +249,9 @@
 	if (e->wait_ms > e->route->target_latency_ms)
 		return false;
 	entry.finish_ms = choice->finish_ms - choice->wait_ms + e->wait_ms;
-	position = sort_with(queue, service, entry);
+	position = sort_with(queue, service, &entry, &count);
 	excess = wait_order_find_excess(entries, count, own->slots,
-					WAITING_MAX - queue->length + count - 1);
+					WAITING_MAX - staying + count - 1);
 	*refused = NULL;
 	if (excess == position)
 		return false;
@@ -274,6 +290,7 @@
 	if (refused) {
 		/* its response may end connections, so not during this call */
 		refused->must_leave_queue = true;
+		queue->leaving_count++;
 		event_active(queue->dispatch, EV_TIMEOUT, 0);
 	}
 	return NULL;
@@ -289,6 +306,7 @@
 	g_ptr_array_remove(service->waiting, e);
 	server_unref(e->waits_for);
 	e->waits_for = NULL;
+	queue->leaving_count -= e->must_leave_queue;
 	e->must_leave_queue = false;
 	e->wait_sequence = 0;
 	e->waited_ms +=
@@ -321,26 +339,44 @@
 	exchange_send(e, server);
 }
 
+/* @return a request for which another one waits, or NULL. */
+static struct exchange *find_leaving(const struct wait_queue *queue,
+				     const struct service_queue *service)
+{
+	guint i;
+
+	for (i = 0; queue->leaving_count && i < service->waiting->len; i++) {
+		struct exchange *e = g_ptr_array_index(service->waiting, i);
+
+		if (e->must_leave_queue)
+			return e;
+	}
+	return NULL;
+}
+
 /* Processes one waiting request: sends it, refuses it, or places it elsewhere.
  * Others may leave the queue with it. @return whether there was one. */
 static bool advance(struct wait_queue *queue, struct service_queue *service)
 {
-	uint32_t count = collect_entries(service);
+	struct exchange *leaving = find_leaving(queue, service);
+	uint32_t count;
 	uint32_t i;
 
 	collect_view(queue, service);
+	count = collect_entries(service);
+	if (leaving) {
+		counter_add(COUNTER_REFUSED_QUEUE_FULL, 1);
+		wait_queue_remove(queue, leaving);
+		refuse(leaving, "queue-full",
+		       wait_order_work_ms(entries, count, view.slots));
+		return true;
+	}
 	wait_order_sort(service->order, entries, count,
 			proxy_now_ms(queue->proxy));
 	for (i = 0; i < count; i++) {
 		struct exchange *e = waiting_at(service, i);
 		struct finish_choice choice = own_view_choose(&view, e);
 
-		if (e->must_leave_queue) {
-			counter_add(COUNTER_REFUSED_QUEUE_FULL, 1);
-			wait_queue_remove(queue, e);
-			refuse(e, "queue-full", choice.wait_ms);
-			return true;
-		}
 		if (choice.result == FINISH_SEND) {
 			send_waiting(queue, service, count, i, &choice);
 			return true;
@@ -367,16 +403,8 @@
 /* @return whether a request can be sent, or must leave the queue. */
 static bool has_work(struct wait_queue *queue, const struct service_queue *service)
 {
-	guint i;
-
 	collect_view(queue, service);
-	if (view.has_free_slot || !view.count)
-		return true;
-	for (i = 0; i < service->waiting->len; i++)
-		if (((struct exchange *)g_ptr_array_index(service->waiting, i))
-			    ->must_leave_queue)
-			return true;
-	return false;
+	return view.has_free_slot || !view.count || queue->leaving_count;
 }
 
 static void on_dispatch(evutil_socket_t fd, short what, void *context)
--- a/test/unit/request/exchange_own_test.c
+++ b/test/unit/request/exchange_own_test.c
@@ -112,6 +112,13 @@
 		close(fds[i]);
 }
 
+static bool is_answered(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Requests that queue at a server count against its memory and its queue, and
  * cannot go elsewhere any more. */
 static void server_gets_no_more_than_its_slots(void)
@@ -260,9 +267,7 @@
 	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), >, 0);
 	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), <, 20);
 	for (i = SLOTS; i < SLOTS + 60; i++) {
-		char byte;
-
-		if (recv(fds[i], &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+		if (!is_answered(fds[i]))
 			continue;
 		g_assert_cmpint(take_status(fds[i]), ==, 503);
 		fds[i] = -1;
@@ -279,6 +284,33 @@
 	teardown_own();
 }
 
+/* Requests that are late already must not keep those out that can still meet
+ * their target; the queue stays within one target latency's worth of work. */
+static void late_requests_leave_for_those_in_time(void)
+{
+	int late[SLOTS + 8];
+	int fresh[3];
+	uint32_t refused = 0;
+	uint32_t length;
+	uint32_t i;
+
+	setup_own();
+	send_many(late, SLOTS + 8);
+	length = wait_queue_length(proxy.wait_queue);
+	g_assert_cmpuint(length, >=, 5);
+	run_ms(TARGET_LATENCY_MS * 7 / 10);
+	send_many(fresh, 3);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), <=, length + 1);
+	for (i = 0; i < 3; i++)
+		g_assert_false(is_answered(fresh[i]));
+	for (i = SLOTS; i < SLOTS + 8; i++)
+		refused += is_answered(late[i]);
+	g_assert_cmpuint(refused, >=, 2);
+	close_many(fresh, 3);
+	close_many(late, SLOTS + 8);
+	teardown_own();
+}
+
 /* A retry goes to another server of this VM, within its slots. */
 static void retry_waits_for_another_server(void)
 {
@@ -332,6 +364,7 @@
 	ADD_TEST("exchange_own", requests_without_servers_are_answered);
 	ADD_TEST("exchange_own", pausing_servers_do_not_hold_requests);
 	ADD_TEST("exchange_own", hopeless_requests_are_refused);
+	ADD_TEST("exchange_own", late_requests_leave_for_those_in_time);
 	ADD_TEST("exchange_own", retry_waits_for_another_server);
 	ADD_TEST("exchange_own", waiting_requests_are_answered_at_exit);
 	return g_test_run();
