--- a/src/assign/assignment.c
+++ b/src/assign/assignment.c
@@ -14,11 +14,10 @@
  * second, and more with each second. */
 #define COLD_SLOTS_PART 0.25
 
-/* A VM with servers of a service in a region. In a failure domain without any
- * VM that can be assigned, one without a VM stands for the domain's servers,
- * whose objects every VM places by itself. */
+/* A server of a service in a region. */
 struct member {
-	const struct vm *vm;
+	const struct vm *vm; /* NULL: its failure domain has none that can be
+			      * assigned, and every VM sends to it */
 	const char *failure_domain;
 };
 
@@ -157,27 +156,16 @@
 	       (server->cold_until_ms > now_ms ? COLD_SLOTS_PART : 1);
 }
 
-static void add_to_member(struct group *group, const struct vm *vm,
-			  const char *failure_domain, double slots)
+static void add_member(struct group *group, const struct vm *vm,
+		       const struct server *server, double slots)
 {
 	const struct member member = { .vm = vm,
-				       .failure_domain = failure_domain };
-	struct assign_target target = {
-		.hash = vm ? vm->hash
-			   : XXH3_64bits(failure_domain, strlen(failure_domain)),
-	};
-	guint i;
+				       .failure_domain = server->failure_domain };
+	const struct assign_target target = { .hash = server->hash,
+					      .weight = slots };
 
-	for (i = 0; i < group->members->len; i++)
-		if (g_array_index(group->members, struct member, i).vm == vm &&
-		    g_array_index(group->members, struct member, i).failure_domain ==
-			    failure_domain)
-			break;
-	if (i == group->members->len) {
-		g_array_append_val(group->members, member);
-		g_array_append_val(group->targets, target);
-	}
-	g_array_index(group->targets, struct assign_target, i).weight += slots;
+	g_array_append_val(group->members, member);
+	g_array_append_val(group->targets, target);
 }
 
 static void assign_domain(struct assignment *assignment, struct group *group,
@@ -207,8 +195,8 @@
 				: g_ptr_array_index(vms_all(proxy->vms),
 						    servers[i].vm);
 
-		add_to_member(group, vm, failure_domain,
-			      usable_slots(proxy, server, now_ms));
+		add_member(group, vm, server,
+			   usable_slots(proxy, server, now_ms));
 		if (vm && is_self(assignment, vm))
 			g_ptr_array_add(group->own_servers, server);
 		if (server->cold_until_ms > now_ms)
@@ -223,7 +211,7 @@
 {
 	if (region == assignment->proxy->region)
 		log_info("assign",
-			 "servers assigned service=%s region=%s vms=%u "
+			 "servers assigned service=%s region=%s servers=%u "
 			 "own_servers=%u",
 			 service, region, group->members->len,
 			 group->own_servers->len);
@@ -235,7 +223,7 @@
 	const struct proxy *proxy = assignment->proxy;
 	const struct topology *topology = &proxy->topology;
 	const uint32_t own_before = group->own_servers->len;
-	const uint32_t vms_before = group->members->len;
+	const uint32_t servers_before = group->members->len;
 	int64_t now_ms = proxy_now_ms(proxy);
 	uint32_t i;
 
@@ -251,7 +239,7 @@
 				      g_intern_string(topology->domains[i].name),
 				      now_ms);
 	if (group->own_servers->len != own_before ||
-	    group->members->len != vms_before)
+	    group->members->len != servers_before)
 		log_group(assignment, group, service, region);
 }
 
--- a/src/decide/assign.h
+++ b/src/decide/assign.h
@@ -7,7 +7,7 @@
 /**
  * @file
  * Assigns the backend servers of a service to entry VMs of their failure
- * domain, and objects to these VMs.
+ * domain, and objects to servers.
  *
  * Load pattern: many VMs each receive a few of the requests, so that none of
  * them knows the load of a server, and a server is sent more than its slots
@@ -50,14 +50,16 @@
 void assign_servers(uint64_t group_hash, struct assign_vm *vms, uint32_t vm_count,
 		    struct assign_server *servers, uint32_t server_count);
 
-/** A VM with servers of an object's service. */
+/** A server of an object's service. Objects are mapped to servers, not to VMs:
+ * when VMs come or go, other VMs send to the server that has the object
+ * cached. */
 struct assign_target {
 	uint64_t hash;
-	double weight; /**< slots of its usable servers; 0: none is usable */
+	double weight; /**< its slots; 0: it is not usable */
 	bool excluded;
 };
 
-/** @return the index of the object's VM, or ASSIGN_NONE. */
+/** @return the index of the object's server, or ASSIGN_NONE. */
 uint32_t assign_object(uint64_t object_hash,
 		       const struct assign_target *targets, uint32_t count);
 
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -10,6 +10,7 @@
 #include "base/build.h"
 #include "base/log.h"
 #include "handoff/handoff.h"
+#include "queue/wait_queue.h"
 #include "sync/reach_watch.h"
 #include "sync/server_limits.h"
 #include "sync/store_sync.h"
@@ -103,10 +104,38 @@
 					"away_share", region_share_total(share),
 					"demand_slots", share->demand, "slots",
 					(json_int_t)share->local_slots));
+/* The servers to which this VM alone sends. */
+static json_t *encode_own_servers(const struct proxy *proxy)
+{
+	json_t *list = json_array();
+	uint32_t i;
+	guint k;
+
+	for (i = 0; proxy->config && i < proxy->config->service_count; i++) {
+		const GPtrArray *own =
+			assignment_own_servers(proxy->assignment,
+					       proxy->config->services[i].name);
+
+		for (k = 0; own && k < own->len; k++) {
+			const struct server *server = g_ptr_array_index(own, k);
+
+			json_array_append_new(list, json_string(server->id));
+		}
 	}
 	return list;
 }
 
+static void add_assignment(const struct proxy *proxy, json_t *root)
+{
+	if (!root || !assignment_is_on(proxy->assignment))
+		return;
+	json_object_set_new(root, "services", encode_regions(proxy));
+	json_object_set_new(root, "servers_ramping", encode_ramping(proxy));
+	json_object_set_new(root, "own_servers", encode_own_servers(proxy));
+	json_object_set_new(root, "waiting",
+			    json_integer(wait_queue_length(proxy->wait_queue)));
+}
+
 void status_write(const struct proxy *proxy, struct evbuffer *out)
 {
 	const struct config *config = proxy->config;
@@ -132,11 +161,7 @@
 		"vms", encode_vms(proxy), "servers_limited",
 		encode_limited(proxy), "handoffs",
 		handoff_encode_status(proxy->handoff));
-	if (root && assignment_is_on(proxy->assignment)) {
-		json_object_set_new(root, "services", encode_regions(proxy));
-		json_object_set_new(root, "servers_ramping",
-				    encode_ramping(proxy));
-	}
+	add_assignment(proxy, root);
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
 		evbuffer_add(out, text, strlen(text));
