--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -104,6 +104,10 @@
 					"away_share", region_share_total(share),
 					"demand_slots", share->demand, "slots",
 					(json_int_t)share->local_slots));
+	}
+	return list;
+}
+
 /* The servers to which this VM alone sends. */
 static json_t *encode_own_servers(const struct proxy *proxy)
 {
