feat(kv): relay serves another path, channel calls a quota coordinator

**Problem**: reports of quotas pass between VMs on the relay's listener, and a call to a dead coordinator must fail in a quarter of a second. **Solution**: relay_set_handler() takes one more path; a channel of the kind KV_SERVER_QUOTA connects within the call's timeout and has its own counter.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -65,6 +65,10 @@
 	[COUNTER_UNREADABLE_ENTRIES] = { "unreadable_entries",
 					 "values in the store that could not be "
 					 "read, each time" },
+	[COUNTER_OVER_QUOTA] = { "over_quota",
+				 "requests refused over a workspace's quota" },
+	[COUNTER_QUOTA_REPORTS] = { "quota_reports",
+				    "reports sent to the quota coordinator" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
@@ -85,6 +89,8 @@
 				"live entry VMs that say they are cut off" },
 	[GAUGE_SERVERS_LIMITED] = { "servers_limited",
 				    "backend servers that name a limit" },
+	[GAUGE_WORKSPACES_LIMITED] = { "workspaces_limited",
+				       "workspaces over their quota here" },
 };
 
 static atomic_uint_fast64_t counters[COUNTER_COUNT];
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -39,6 +39,14 @@
 	void *context;
 };
 
+/* Calls about quotas are repeated soon, and elsewhere. */
+static uint32_t connect_timeout_ms(const struct kv_channel *channel)
+{
+	if (channel->server == KV_SERVER_QUOTA)
+		return channel->timeout_ms;
+	return CONNECT_TIMEOUT_MS;
+}
+
 static void disconnect(struct kv_channel *channel)
 {
 	http_stream_free(channel->stream);
@@ -190,14 +198,24 @@
 	return channel->done != NULL;
 }
 
+static enum counter call_counter(enum kv_server server)
+{
+	switch (server) {
+	case KV_SERVER_RELAY:
+		return COUNTER_RELAY_CALLS;
+	case KV_SERVER_QUOTA:
+		return COUNTER_QUOTA_REPORTS;
+	default:
+		return COUNTER_STORE_CALLS;
+	}
+}
+
 void kv_channel_send(struct kv_channel *channel, struct kv_call *call,
 		     uint32_t timeout_ms, kv_done_cb done, void *context)
 {
 	struct evbuffer *output;
 
-	counter_add(channel->server == KV_SERVER_STORE ? COUNTER_STORE_CALLS
-						       : COUNTER_RELAY_CALLS,
-		    1);
+	counter_add(call_counter(channel->server), 1);
 	channel->done = done;
 	channel->context = context;
 	channel->status = KV_STATUS_NONE;
@@ -207,7 +225,7 @@
 	channel->is_watch = call->is_watch;
 	channel->sent_ms = clock_now_ms(&clock_system);
 	timer_start(channel->timeout,
-		    channel->stream ? timeout_ms : CONNECT_TIMEOUT_MS);
+		    channel->stream ? timeout_ms : connect_timeout_ms(channel));
 	if (!channel->stream)
 		channel->stream =
 			http_stream_connect(channel->base, &channel->address,
--- a/src/kv/kv_client.h
+++ b/src/kv/kv_client.h
@@ -19,6 +19,7 @@
 enum kv_server {
 	KV_SERVER_STORE,
 	KV_SERVER_RELAY, /**< another VM, which serves reads */
+	KV_SERVER_QUOTA, /**< another VM, which coordinates quotas */
 };
 
 /**
--- a/src/kv/relay.c
+++ b/src/kv/relay.c
@@ -6,7 +6,6 @@
 
 #include "base/counter.h"
 #include "kv/compress.h"
-#include "net/responder.h"
 #include "net/timer.h"
 #include "platform/kv_codec.h"
 
@@ -28,6 +27,9 @@
 	struct responder *responder;
 	struct relay_feed *feeds;
 	size_t feed_count;
+	const char *other_path; /* see relay_set_handler() */
+	responder_handler other_handler;
+	void *other_context;
 };
 
 /* The last encoded body, cached because most VMs request the same. */
@@ -222,6 +224,11 @@
 	struct kv_read_call read;
 	struct kv_page page;
 
+	if (relay->other_path &&
+	    !strcmp(request->head->target, relay->other_path)) {
+		relay->other_handler(relay->other_context, request);
+		return;
+	}
 	if (!kv_decode_read_call(request->head->target, &read)) {
 		responder_reply(request, 400, NULL, NULL);
 		return;
@@ -265,6 +272,14 @@
 	return relay;
 }
 
+void relay_set_handler(struct relay *relay, const char *path,
+		       responder_handler handler, void *context)
+{
+	relay->other_path = path;
+	relay->other_handler = handler;
+	relay->other_context = context;
+}
+
 void relay_free(struct relay *relay)
 {
 	size_t i;
--- a/src/kv/relay.h
+++ b/src/kv/relay.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 
 #include "kv/feed.h"
+#include "net/responder.h"
 
 /**
  * @file
@@ -25,4 +26,13 @@
 			struct feed *const *feeds, size_t feed_count);
 void relay_free(struct relay *relay);
 
+/**
+ * Lets a handler respond to the requests for another path on the same listener.
+ *
+ * @param path a string that outlives the relay; at most one can be set.
+ * @param context must outlive the relay.
+ */
+void relay_set_handler(struct relay *relay, const char *path,
+		       responder_handler handler, void *context);
+
 #endif
