feat(quota): entry VMs keep quotas of workspaces together

**Problem**: RatePerS and Burst of a workspace were read and not kept. **Solution**: src/quota reports admitted requests to the coordinator by POST /quota, or answers itself where this VM is the coordinator, and applies the fractions of the replies. Configuration changes are found by comparing versions at requests, reports and replies. /status names the coordinator and the limited workspaces.

--- a/src/proxy/main.c
+++ b/src/proxy/main.c
@@ -173,6 +173,9 @@
 	if (!proxy->notices || !proxy->crashes || !proxy->reach)
 		return false;
 	proxy->store_sync = store_sync_new(proxy, &store);
+	if (proxy->store_sync)
+		quota_serve(proxy->quota,
+			    store_sync_relay_server(proxy->store_sync));
 	key = g_strconcat(VMS_KEY_PREFIX, settings->name, NULL);
 	text = proxy_settings_encode_entry(settings, false);
 	proxy->presence = presence_new(proxy->base, &store, key, text,
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -8,6 +8,7 @@
 
 #include "base/build.h"
 #include "base/log.h"
+#include "quota/quota.h"
 #include "sync/reach_watch.h"
 #include "sync/server_limits.h"
 #include "sync/store_sync.h"
@@ -66,22 +67,22 @@
 
 	if (config)
 		snprintf(version, sizeof(version), "%08" PRIx64, config->version);
-	root = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:b,s:s,s:o,s:o}",
-			 "vm", proxy->settings->name, "failure_domain",
-			 proxy->failure_domain, "version", version, "relay",
-			 store_sync_relay(proxy->store_sync), "version_age_ms",
-			 (json_int_t)(config ? proxy_now_ms(proxy) -
-						       proxy->config_since_ms
-					     : -1),
-			 "store_era",
-			 (json_int_t)store_sync_era(proxy->store_sync),
-			 "servers", (json_int_t)servers_count(proxy->servers),
-			 "servers_age_ms",
-			 (json_int_t)store_sync_servers_age_ms(proxy->store_sync),
-			 "stopping", proxy->stopping, "cut_off",
-			 reach_watch_is_cut_off(proxy->reach), "build",
-			 build_commit(), "vms", encode_vms(proxy),
-			 "servers_limited", encode_limited(proxy));
+	root = json_pack(
+		"{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:b,s:s,s:o,s:o,s:o}",
+		"vm", proxy->settings->name, "failure_domain",
+		proxy->failure_domain, "version", version, "relay",
+		store_sync_relay(proxy->store_sync), "version_age_ms",
+		(json_int_t)(config ? proxy_now_ms(proxy) - proxy->config_since_ms
+				    : -1),
+		"store_era", (json_int_t)store_sync_era(proxy->store_sync),
+		"servers", (json_int_t)servers_count(proxy->servers),
+		"servers_age_ms",
+		(json_int_t)store_sync_servers_age_ms(proxy->store_sync),
+		"stopping", proxy->stopping, "cut_off",
+		reach_watch_is_cut_off(proxy->reach), "build", build_commit(),
+		"vms", encode_vms(proxy), "servers_limited",
+		encode_limited(proxy), "quota",
+		quota_encode_status(proxy->quota));
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
 		evbuffer_add(out, text, strlen(text));
--- /dev/null
+++ b/src/quota/quota_internal.h
@@ -0,0 +1,45 @@
+#ifndef QUOTA_QUOTA_INTERNAL_H
+#define QUOTA_QUOTA_INTERNAL_H
+
+#include "decide/quota_bucket.h"
+#include "decide/quota_share.h"
+#include "proxy/proxy_defs.h"
+
+/** @file Shared by the modules of this folder. */
+
+struct quota_client;
+struct quota_coordinator;
+
+/** A workspace with a rate, in the configuration in force. */
+struct quota_entry {
+	char *name;
+	struct quota_share share;
+	struct quota_bucket bucket; /* at the coordinator */
+	bool has_bucket;
+	bool in_call; /* of the report in progress */
+	bool listed;  /* while the configuration is applied */
+	bool refuses; /* refused a request a moment ago */
+	int64_t refused_ms;
+};
+
+struct quota {
+	struct proxy *proxy;
+	uint64_t run;		     /* identifies this process; never 0 */
+	GHashTable *entries;	     /* by name, owned by `list` */
+	GPtrArray *list;	     /* of struct quota_entry */
+	const struct config *config; /* that the entries are from */
+	uint64_t config_version;
+	struct quota_client *client;
+	struct quota_coordinator *coordinator;
+};
+
+/** Applies the configuration in force, if it has changed. */
+void quota_sync_config(struct quota *quota);
+
+/** Ends the refusals that were some time ago. @return whether some have not. */
+bool quota_check_refusals(struct quota *quota, int64_t now_ms);
+
+/** @return what the VM knows of the others. */
+struct quota_view quota_view(const struct quota *quota);
+
+#endif
--- a/src/sync/store_sync.c
+++ b/src/sync/store_sync.c
@@ -502,3 +502,8 @@
 {
 	return store_sync->relay_name ? store_sync->relay_name : "";
 }
+
+struct relay *store_sync_relay_server(const struct store_sync *store_sync)
+{
+	return store_sync->relay;
+}
--- a/src/sync/store_sync.h
+++ b/src/sync/store_sync.h
@@ -40,4 +40,7 @@
 /** @return the VM that reads from the store for this one; "": none. */
 const char *store_sync_relay(const struct store_sync *store_sync);
 
+/** @return the server of reads for other VMs; NULL: not configured. */
+struct relay *store_sync_relay_server(const struct store_sync *store_sync);
+
 #endif
