--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -88,6 +88,10 @@
 	[COUNTER_REFUSED_QUEUE_FULL] = { "refused_queue_full",
 					 "requests refused because too many "
 					 "waited" },
+	[COUNTER_OVER_QUOTA] = { "over_quota",
+				 "requests refused over a workspace's quota" },
+	[COUNTER_QUOTA_REPORTS] = { "quota_reports",
+				    "reports sent to the quota coordinator" },
 };
 
 static const struct metric gauge_metrics[GAUGE_COUNT] = {
@@ -108,6 +112,8 @@
 				"live entry VMs that say they are cut off" },
 	[GAUGE_SERVERS_LIMITED] = { "servers_limited",
 				    "backend servers that name a limit" },
+	[GAUGE_WORKSPACES_LIMITED] = { "workspaces_limited",
+				       "workspaces over their quota here" },
 };
 
 static atomic_uint_fast64_t counters[COUNTER_COUNT];
--- a/src/proxy/status.c
+++ b/src/proxy/status.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "handoff/handoff.h"
 #include "queue/wait_queue.h"
+#include "quota/quota.h"
 #include "sync/reach_watch.h"
 #include "sync/server_limits.h"
 #include "sync/store_sync.h"
@@ -150,7 +151,7 @@
 	if (config)
 		snprintf(version, sizeof(version), "%08" PRIx64, config->version);
 	root = json_pack(
-		"{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:b,s:s,s:o,s:o,s:o}",
+		"{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b,s:b,s:s,s:o,s:o,s:o,s:o}",
 		"vm", proxy->settings->name, "failure_domain",
 		proxy->failure_domain, "version", version, "relay",
 		store_sync_relay(proxy->store_sync), "version_age_ms",
@@ -164,7 +165,8 @@
 		reach_watch_is_cut_off(proxy->reach), "build", build_commit(),
 		"vms", encode_vms(proxy), "servers_limited",
 		encode_limited(proxy), "handoffs",
-		handoff_encode_status(proxy->handoff));
+		handoff_encode_status(proxy->handoff), "quota",
+		quota_encode_status(proxy->quota));
 	add_assignment(proxy, root);
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	if (text)
