--- a/src/workspace/keys.c
+++ b/src/workspace/keys.c
@@ -108,18 +108,18 @@
 
 static bool grow(struct workspace_keys *keys)
 {
-	struct workspace_keys larger = { .count = keys->count };
+	struct workspace_keys old = *keys;
 	uint32_t i;
 
-	if (!allocate(&larger, keys->capacity * 2)) {
-		release(&larger);
+	if (!allocate(keys, old.capacity * 2)) {
+		release(keys);
+		*keys = old;
 		return false;
 	}
-	for (i = 0; i < keys->capacity; i++)
-		if (keys->indices[i] != UNUSED)
-			put(&larger, keys->hashes[i], keys->indices[i]);
-	release(keys);
-	*keys = larger;
+	for (i = 0; i < old.capacity; i++)
+		if (old.indices[i] != UNUSED)
+			put(keys, old.hashes[i], old.indices[i]);
+	release(&old);
 	return true;
 }
 
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/attributes.h"
 #include "base/clock.h"
@@ -190,6 +191,22 @@
 			 server->running, waiting, server->slots);
 }
 
+/* Returns headers of the request in the response, under other names, so that a
+ * test can detect what reaches a server. */
+static void format_seen(const struct http_head *head, GString *out)
+{
+	static const char *const names[] = { "Authorization", "Tenant-Id" };
+	uint32_t i;
+	size_t k;
+
+	for (i = 0; i < head->header_count; i++)
+		for (k = 0; k < ARRAY_SIZE(names); k++)
+			if (!strcasecmp(head->headers[i].name, names[k]))
+				g_string_append_printf(out, "Seen-%s: %s\r\n",
+						       names[k],
+						       head->headers[i].value);
+}
+
 static void on_connection_closed(void *context)
 {
 	work_free(context);
@@ -199,19 +216,19 @@
 {
 	struct platform_server *server = work->server;
 	struct evbuffer *body = evbuffer_new();
+	GString *headers = g_string_new(NULL);
 	char state[STATE_BYTES];
-	char *headers;
 
 	format_state(server, state, sizeof(state));
-	headers = g_strdup_printf("Request-Id: %s\r\n%s%s",
-				  server->fault == FAULT_OTHER_ID ? "other"
-								  : work->id,
-				  state,
-				  server->fault == FAULT_UNSTAMPED ? ""
-				  : server->fault == FAULT_LEAVING
-					  ? "Response-Stamp: s1\r\n"
-					    "Server-Leaving: 1\r\n"
-					  : "Response-Stamp: s1\r\n");
+	g_string_printf(headers, "Request-Id: %s\r\n%s%s",
+			server->fault == FAULT_OTHER_ID ? "other" : work->id,
+			state,
+			server->fault == FAULT_UNSTAMPED ? ""
+			: server->fault == FAULT_LEAVING
+				? "Response-Stamp: s1\r\n"
+				  "Server-Leaving: 1\r\n"
+				: "Response-Stamp: s1\r\n");
+	format_seen(work->request->head, headers);
 
 	/* echo the request, so that a test can detect modifications */
 	evbuffer_add_printf(body, "%s %s %s\n", server->id, work->method,
@@ -220,15 +237,15 @@
 	if (server->fault == FAULT_LOSE)
 		responder_reset(work->request);
 	else if (server->fault == FAULT_CUT)
-		responder_reply_truncated(work->request, 200, headers, body,
-					  evbuffer_get_length(body) / 2);
+		responder_reply_truncated(work->request, 200, headers->str,
+					  body, evbuffer_get_length(body) / 2);
 	else
 		responder_reply(work->request,
 				clock_now_ms(&clock_system) < work->deadline_ms
 					? 200
 					: 504,
-				headers, body);
-	g_free(headers);
+				headers->str, body);
+	g_string_free(headers, TRUE);
 	evbuffer_free(body);
 	work_free(work);
 }
--- a/test/unit/request/workspace_test.c
+++ b/test/unit/request/workspace_test.c
@@ -6,6 +6,7 @@
 
 #define RESPONSE "Request-Id: r1\r\nResponse-Stamp: a.b\r\n"
 #define WITH_KEY "Authorization: Bearer k1\r\nTenant-Id: mill\r\n"
+#define WITH_TWO_KEYS "Authorization: Bearer k1\r\nAuthorization: Bearer k2\r\n"
 
 /* Puts a configuration in force in which one workspace has `key`. */
 static void set_config(uint64_t version, const char *key, bool idempotent,
@@ -114,8 +115,7 @@
 {
 	static const char *const headers[] = { "", "Authorization: Bearer k2\r\n",
 					       "Tenant-Id: dairy\r\n",
-					       WITH_KEY
-					       "Authorization: Bearer k2\r\n",
+					       WITH_TWO_KEYS,
 					       "Authorization: Basic k1\r\n" };
 	const uint64_t before = counter_get(COUNTER_REFUSED_KEY);
 	int fd;
