--- a/src/assign/assignment.c
+++ b/src/assign/assignment.c
@@ -23,6 +23,7 @@
 
 /* The assignment of one service in one region. */
 struct group {
+	uint64_t config_version;
 	uint64_t vms_generation;
 	uint64_t servers_generation;
 	int64_t valid_until_ms; /* a cold server is warm from then */
@@ -108,8 +109,29 @@
 	return vm->has_handoff && vm->weight && !vm->cut_off;
 }
 
+/* @return whether large bodies go to or come from the servers of a service. */
+static bool has_large_bodies(const struct config *config, const char *service)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < config->route_count; i++) {
+		const struct route *route = &config->routes[i];
+
+		if (route->kind != ROUTE_UPLOAD && route->kind != ROUTE_DOWNLOAD)
+			continue;
+		for (k = 0; k < route->part_count; k++)
+			if (!strcmp(route->parts[k].service->name, service))
+				return true;
+	}
+	return false;
+}
+
+/* @param by_link whether VMs are weighted by their links. A body of 90 KB takes
+ * 72 ms on a link of 10 Mbit/s, and what waits behind it is late too. */
 static uint32_t collect_vms(const struct assignment *assignment,
-			    const char *failure_domain, struct assign_vm *out)
+			    const char *failure_domain, bool by_link,
+			    struct assign_vm *out)
 {
 	const GPtrArray *all = vms_all(assignment->proxy->vms);
 	uint32_t count = 0;
@@ -121,7 +143,8 @@
 		if (vm->failure_domain != failure_domain || !can_be_assigned(vm))
 			continue;
 		out[count].hash = vm->hash;
-		out[count].weight = vm->weight;
+		out[count].weight =
+			by_link && vm->link_mbps ? vm->link_mbps : vm->weight;
 		out[count++].index = i;
 	}
 	return count;
@@ -181,7 +204,9 @@
 		XXH3_64bits(service, strlen(service)),
 		XXH3_64bits(failure_domain, strlen(failure_domain)),
 	};
-	uint32_t vm_count = collect_vms(assignment, failure_domain, vms);
+	uint32_t vm_count =
+		collect_vms(assignment, failure_domain,
+			    has_large_bodies(proxy->config, service), vms);
 	uint32_t count = collect_servers(list, failure_domain, servers);
 	uint32_t i;
 
@@ -230,6 +255,7 @@
 	g_array_set_size(group->members, 0);
 	g_array_set_size(group->targets, 0);
 	g_ptr_array_set_size(group->own_servers, 0);
+	group->config_version = proxy->config->version;
 	group->vms_generation = vms_generation(proxy->vms);
 	group->servers_generation = servers_generation(proxy->servers);
 	group->valid_until_ms = INT64_MAX;
@@ -260,7 +286,8 @@
 		group->own_servers = g_ptr_array_new();
 		g_hash_table_insert(assignment->groups, g_strdup(key), group);
 	}
-	if (group->vms_generation != vms_generation(proxy->vms) ||
+	if (group->config_version != proxy->config->version ||
+	    group->vms_generation != vms_generation(proxy->vms) ||
 	    group->servers_generation != servers_generation(proxy->servers) ||
 	    proxy_now_ms(proxy) >= group->valid_until_ms)
 		compute_group(assignment, group, service, region);
--- a/src/fleet/vms.c
+++ b/src/fleet/vms.c
@@ -70,6 +70,8 @@
 				    json_string(entry->handoff_address));
 		json_object_set_new(root, "weight",
 				    json_integer((json_int_t)entry->weight));
+		json_object_set_new(root, "link_mbps",
+				    json_integer((json_int_t)entry->link_mbps));
 	}
 	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
@@ -156,13 +158,15 @@
 	const char *status = "";
 	const char *handoff = "";
 	json_int_t weight = 0;
+	json_int_t link_mbps = 0;
 	int cut_off = 0;
 	struct vm *vm;
 
-	if (json_unpack(root, "{s:s,s:s,s?s,s?s,s?b,s?s,s?I}", "address",
+	if (json_unpack(root, "{s:s,s:s,s?s,s?s,s?b,s?s,s?I,s?I}", "address",
 			&address, "failure_domain", &domain, "relay_address",
 			&relay, "status_address", &status, "cut_off", &cut_off,
-			"handoff_address", &handoff, "weight", &weight) ||
+			"handoff_address", &handoff, "weight", &weight,
+			"link_mbps", &link_mbps) ||
 	    !schema_is_address(address)) {
 		record_unreadable(vms, name, root, text, bytes);
 		goto out;
@@ -183,6 +187,7 @@
 	vm->has_handoff = schema_is_address(handoff) &&
 			  tcp_parse_address(handoff, &vm->handoff);
 	vm->weight = (uint32_t)CLAMP(weight, 0, VM_WEIGHT_MAX);
+	vm->link_mbps = (uint32_t)CLAMP(link_mbps, 0, VM_WEIGHT_MAX);
 	g_ptr_array_add(vms->all, vm);
 	vms->generation++;
 out:
--- a/src/fleet/vms.h
+++ b/src/fleet/vms.h
@@ -34,6 +34,7 @@
 	struct sockaddr_in handoff; /**< where it takes requests of other VMs */
 	bool has_handoff;	    /**< false for builds that do not */
 	uint32_t weight;	    /**< its processor share; 0: unknown */
+	uint32_t link_mbps;	    /**< of its network link; 0: unknown */
 };
 
 /** What a VM registers in the store. */
@@ -44,8 +45,9 @@
 	const char *status_address;  /**< status and metrics; "": nowhere */
 	const char *handoff_address; /**< takes requests of other VMs; "" or
 				      * NULL: nowhere */
-	uint32_t weight; /**< processor share, thousandths of a core */
-	bool cut_off;	 /**< can connect to no backend server */
+	uint32_t weight;    /**< processor share, thousandths of a core */
+	bool cut_off;	    /**< can connect to no backend server */
+	uint32_t link_mbps; /**< of its network link; 0: unknown */
 };
 
 struct vms;
--- a/src/proxy/settings.c
+++ b/src/proxy/settings.c
@@ -54,6 +54,9 @@
 	SCHEMA_TEXT(proxy_settings, cpu_share, "cpu_share", false, 32,
 		    "this VM's share of a processor in cores, a decimal number; 1 "
 		    "if absent"),
+	SCHEMA_TEXT(proxy_settings, link_mbps, "link_mbps", false, 32,
+		    "this VM's network link in Mbit/s, a decimal number; not "
+		    "known if absent"),
 	SCHEMA_BOOL(proxy_settings, first_start, "first_start", false,
 		    "the whole fleet starts for the first time: no caller is "
 		    "waiting yet, and this VM waits until it knows its relay"),
@@ -64,13 +67,12 @@
 const struct schema proxy_settings_schema =
 	SCHEMA_OF(proxy_settings, settings_fields);
 
-/* @return the processor share in thousandths of a core. */
-static uint32_t get_weight(const struct proxy_settings *settings)
+/* @return a decimal number of the settings, multiplied and within bounds. */
+static uint32_t get_decimal(const char *text, double absent, double factor)
 {
-	const char *text = settings->cpu_share;
-	double cores = text && *text ? g_ascii_strtod(text, NULL) : 1;
+	double value = text && *text ? g_ascii_strtod(text, NULL) : absent;
 
-	return (uint32_t)(CLAMP(cores, 0.001, 1000) * 1000 + 0.5);
+	return (uint32_t)(CLAMP(value * factor, 0, 1000000) + 0.5);
 }
 
 char *proxy_settings_encode_entry(const struct proxy_settings *settings,
@@ -82,7 +84,9 @@
 		.relay_address = settings->relay_address,
 		.status_address = settings->metrics_address,
 		.handoff_address = settings->handoff_address,
-		.weight = get_weight(settings),
+		/* in thousandths of a core, at least one */
+		.weight = MAX(get_decimal(settings->cpu_share, 1, 1000), 1),
+		.link_mbps = get_decimal(settings->link_mbps, 0, 1),
 		.cut_off = cut_off,
 	};
 
--- a/src/proxy/settings.h
+++ b/src/proxy/settings.h
@@ -25,6 +25,7 @@
 	uint32_t pipelined_requests;
 	char *bounds;
 	char *cpu_share;
+	char *link_mbps;
 	char *log_level;
 	bool first_start;
 };
