test(handoff): map the test's requests to the other VM

**Problem** The tests of handoffs were written against a stand-in for the assignment that returned the other VM. The real assignment maps an object to a server, and the server to a VM of its own failure domain; a VM that is not in the list hands off nothing. This VM was not listed, so that all requests were placed directly and handoff_send_test failed.

**Solution** The server's failure domain has e2 alone; this VM, e1, is listed in a second failure domain of the region. The receiving tests check that the server is e1's own, which had depended on hashes, and the test of large responses removes e2 from the list, so that its server is e1's for the same reason. No check is removed or eased.

--- a/test/unit/handoff/handoff_peer.h
+++ b/test/unit/handoff/handoff_peer.h
@@ -117,6 +117,9 @@
 					      on_peer_accept, NULL);
 	}
 	g_assert_nonnull(peer.listener);
+	/* e2 is the only VM that the server can be assigned to; e1 is listed,
+	 * without which it would not hand off */
+	put_vm_in("e1", "fyn-b", settings.handoff_address);
 	put_vm("e2", peer.address);
 	run_ms(20);
 }
--- a/test/unit/handoff/handoff_receive_test.c
+++ b/test/unit/handoff/handoff_receive_test.c
@@ -16,8 +16,13 @@
 /* This VM is assigned to its server. */
 static void setup_receiver(bool idempotent)
 {
+	const GPtrArray *own;
+
 	setup_handoff(idempotent);
 	put_vm("e1", settings.handoff_address);
+	own = assignment_own_servers(proxy.assignment, "reg");
+	g_assert_nonnull(own);
+	g_assert_cmpuint(own->len, ==, 1);
 }
 
 static int send_handoff(const char *text)
@@ -226,6 +231,8 @@
 	for (idempotent = 0; idempotent < 2; idempotent++) {
 		/* the fake VM is the server here */
 		setup_peer_responding(idempotent, &response);
+		/* the server is assigned to this VM */
+		vms_remove(proxy.vms, "e2");
 		put_vm("e1", settings.handoff_address);
 		g_assert_true(tcp_parse_address(peer.address, &address));
 		servers_remove(proxy.servers, "s2");
--- a/test/unit/handoff/handoff_vm.h
+++ b/test/unit/handoff/handoff_vm.h
@@ -11,6 +11,10 @@
  * of requests that are passed on between VMs.
  */
 
+/* The server's failure domain, and one of the same region without servers. */
+static struct topology_domain handoff_domains[] = { { "fyn-a", "fyn" },
+						    { "fyn-b", "fyn" } };
+
 #define SERVER_HEADERS "Request-Id: r1\r\nResponse-Stamp: a.b\r\n"
 
 /* The server of this VM. */
@@ -48,18 +52,24 @@
 	servers_put(proxy.servers, &entry);
 }
 
-/* Registers a VM of this VM's failure domain. */
-static inline void put_vm(const char *name, const char *handoff_address)
+/* Registers a VM. The server is assigned to a VM of its failure domain. */
+static inline void put_vm_in(const char *name, const char *failure_domain,
+			     const char *handoff_address)
 {
 	char *text = g_strdup_printf(
-		"{\"address\":\"127.0.0.1:1\",\"failure_domain\":\"fyn-a\","
+		"{\"address\":\"127.0.0.1:1\",\"failure_domain\":\"%s\","
 		"\"handoff_address\":\"%s\",\"weight\":500}",
-		handoff_address);
+		failure_domain, handoff_address);
 
 	vms_put(proxy.vms, name, text, strlen(text));
 	g_free(text);
 }
 
+static inline void put_vm(const char *name, const char *handoff_address)
+{
+	put_vm_in(name, "fyn-a", handoff_address);
+}
+
 static inline void setup_handoff(bool idempotent)
 {
 	struct sockaddr_in address;
@@ -67,6 +77,8 @@
 
 	memset(&backend, 0, sizeof(backend));
 	setup_requests(false);
+	proxy.topology.domains = handoff_domains;
+	proxy.topology.domain_count = G_N_ELEMENTS(handoff_domains);
 	proxy.bounds.retry_extra = 100;
 	proxy.bounds.retry_window_ms = 10000;
 	proxy.config->has_large_bodies = true;
