--- a/test/unit/platform/codecs_test.c
+++ b/test/unit/platform/codecs_test.c
@@ -406,19 +406,24 @@
 {
 	struct kv_call call;
 
+	/* callers do not clear it: is_watch was left as it was */
+	memset(&call, 0xff, sizeof(call));
 	kv_call_range(&call, "servers/", "servers/i 1", false);
+	g_assert_cmpint(call.is_watch, ==, false);
 	g_assert_cmpstr(call.target->str, ==,
 			"/kv-range?Prefix=servers/&after=servers/i%201");
 	kv_call_clear(&call);
 	kv_call_watch(&call, "op/", 411, 20000);
 	g_assert_cmpstr(call.target->str, ==,
 			"/kv-watch?Prefix=op/&after=411&WaitMs=20000");
+	g_assert_cmpint(call.is_watch, ==, true);
 	kv_call_clear(&call);
 	kv_call_put(&call, "my/leader", "node-1", 77120);
 	g_assert_cmpstr(call.body->str, ==,
 			"{\"Expected\":[],\"Puts\":[{\"Key\":\"my/leader\","
 			"\"Value\":\"bm9kZS0x\",\"Lease\":77120}],"
 			"\"Remove\":[]}");
+	g_assert_cmpint(call.is_watch, ==, false);
 	kv_call_clear(&call);
 }
 
