--- a/src/decide/service_time.c
+++ b/src/decide/service_time.c
@@ -1,5 +1,7 @@
 #include "decide/service_time.h"
 
+#include <math.h>
+
 #define FAST_QUANTILE 0.2
 #define TYPICAL_QUANTILE 0.5
 #define SLOW_QUANTILE 0.9
@@ -50,6 +52,9 @@
 	}
 	approach(&time->fast_ms, fast_ms);
 	approach(&time->slow_ms, slow_ms);
+	/* it is not reported, and must not stay behind the others */
+	time->typical_ms = fmin(fmax(time->typical_ms, time->fast_ms),
+				time->slow_ms);
 }
 
 void service_time_record(struct service_time *time, int64_t run_ms)
--- a/test/unit/decide/service_time_test.c
+++ b/test/unit/decide/service_time_test.c
@@ -41,6 +41,58 @@
 	g_assert_cmpfloat(time.fast_ms, >=, 1);
 }
 
+/* VMs that hand off all requests measure nothing: they knew the route's initial
+ * estimate only, and sent the wrong share to other regions. */
+static void reports_replace_the_estimate(void)
+{
+	struct service_time time;
+	int i;
+
+	service_time_init(&time, 400);
+	service_time_adopt(&time, 40, 130);
+	g_assert_cmpfloat(time.fast_ms, ==, 40);
+	g_assert_cmpfloat(time.slow_ms, ==, 130);
+	g_assert_cmpuint(time.sample_count, ==, SERVICE_TIME_SAMPLES_MIN);
+	/* one report of a VM whose objects are slower changes little */
+	service_time_adopt(&time, 80, 230);
+	g_assert_cmpfloat(time.fast_ms, >, 40);
+	g_assert_cmpfloat(time.fast_ms, <, 50);
+	for (i = 0; i < 60; i++)
+		service_time_adopt(&time, 80, 230);
+	g_assert_cmpfloat(time.fast_ms, >, 75);
+	g_assert_cmpfloat(time.slow_ms, >, 220);
+}
+
+/* The median is not reported. It stayed at the first report's fast time, below
+ * a fast time that rose later. */
+static void median_stays_between_the_reported_quantiles(void)
+{
+	struct service_time time;
+	int i;
+
+	service_time_init(&time, 400);
+	service_time_adopt(&time, 40, 130);
+	for (i = 0; i < 60; i++)
+		service_time_adopt(&time, 200, 400);
+	g_assert_cmpfloat(time.typical_ms, >=, time.fast_ms);
+	for (i = 0; i < 60; i++)
+		service_time_adopt(&time, 10, 20);
+	g_assert_cmpfloat(time.typical_ms, <=, time.slow_ms);
+}
+
+/* A VM of the previous build, or one that knows nothing yet, reports none. */
+static void odd_reports_are_ignored(void)
+{
+	struct service_time time;
+
+	service_time_init(&time, 400);
+	service_time_adopt(&time, 0, 0);
+	service_time_adopt(&time, 0, 100);
+	service_time_adopt(&time, 100, 99);
+	g_assert_cmpfloat(time.fast_ms, ==, 400);
+	g_assert_cmpuint(time.sample_count, ==, 0);
+}
+
 static void cached_objects_expire(void)
 {
 	static struct object_cache object_cache;
@@ -59,6 +111,9 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	ADD_TEST("service_time", reports_replace_the_estimate);
+	ADD_TEST("service_time", median_stays_between_the_reported_quantiles);
+	ADD_TEST("service_time", odd_reports_are_ignored);
 	ADD_TEST("service_time", quantiles_separate_cached_and_first_runs);
 	ADD_TEST("service_time", initial_estimate_is_replaced_quickly);
 	ADD_TEST("service_time", estimates_stay_positive);
