test(assign): objects keep their server when VMs change

**Solution** A test with one server in each failure domain, which tells the servers apart: VMs that leave, return or come move no object; without a VM the sender itself sends; a server that is gone moves its own objects only.

--- a/test/unit/assign/assignment_test.c
+++ b/test/unit/assign/assignment_test.c
@@ -248,6 +248,110 @@
 	teardown();
 }
 
+/* Servers of the objects are told apart by their failure domains. */
+#define SINGLE_DOMAINS 6
+static struct topology_domain single_domains[SINGLE_DOMAINS] = {
+	{ "c0", "fyn" }, { "c1", "fyn" }, { "c2", "fyn" },
+	{ "c3", "fyn" }, { "c4", "fyn" }, { "c5", "fyn" },
+};
+
+/* Six failure domains, each with one server and two VMs. */
+static void setup_single_servers(void)
+{
+	uint32_t i;
+
+	setup();
+	assignment_free(assignment);
+	vms_free(proxy.vms);
+	servers_free(proxy.servers);
+	proxy.topology.domains = single_domains;
+	proxy.topology.domain_count = SINGLE_DOMAINS;
+	proxy.failure_domain = g_intern_string("c0");
+	proxy.servers = servers_new(&now, &proxy.topology);
+	proxy.vms = vms_new(&proxy.topology);
+	settings.name = (char *)"self";
+	put_vm("self", "c0", ""); /* listed, without a weight */
+	for (i = 0; i < SINGLE_DOMAINS; i++) {
+		char *first = g_strdup_printf("c%u-vm0", i);
+		char *second = g_strdup_printf("c%u-vm1", i);
+
+		put_server(single_domains[i].name, 0, false);
+		put_vm(first, single_domains[i].name, CAPABLE);
+		put_vm(second, single_domains[i].name, CAPABLE);
+		g_free(first);
+		g_free(second);
+	}
+	assignment = assignment_new(&proxy);
+}
+
+static void teardown_single_servers(void)
+{
+	teardown();
+	settings.name = (char *)"fyn-a-vm0";
+}
+
+static void record_domains(const char **out)
+{
+	uint32_t i;
+
+	for (i = 0; i < OBJECTS; i++) {
+		const struct vm *vm = find(NULL, i);
+
+		out[i] = vm ? vm->failure_domain : NULL;
+	}
+}
+
+/* While objects were mapped to VMs, a VM that left or came moved objects
+ * between servers, which did not have them cached. */
+static void objects_keep_their_server_when_vms_change(void)
+{
+	const char *before[OBJECTS];
+	const char *after[OBJECTS];
+	uint32_t moved = 0;
+	uint32_t i;
+
+	setup_single_servers();
+	record_domains(before);
+	for (i = 0; i < OBJECTS; i++) {
+		char *name = g_strdup(find(NULL, i)->name);
+		char *domain = g_strndup(name, 2);
+
+		vms_remove(proxy.vms, name);
+		g_assert_cmpstr(find(NULL, i)->name, !=, name);
+		record_domains(after);
+		g_assert_cmpmem(before, sizeof(before), after, sizeof(after));
+		/* and when it is back, or another one is started */
+		put_vm(i % 2 ? name : "new", domain, CAPABLE);
+		record_domains(after);
+		g_assert_cmpmem(before, sizeof(before), after, sizeof(after));
+		if (!(i % 2)) {
+			vms_remove(proxy.vms, "new");
+			put_vm(name, domain, CAPABLE);
+		}
+		g_free(domain);
+		g_free(name);
+	}
+	/* without a VM, the sender itself sends to the server */
+	vms_remove(proxy.vms, "c3-vm0");
+	vms_remove(proxy.vms, "c3-vm1");
+	record_domains(after);
+	for (i = 0; i < OBJECTS; i++)
+		g_assert_cmpstr(after[i], ==,
+				strcmp(before[i], "c3") ? before[i] : NULL);
+	/* only the objects of a server that is gone move */
+	put_vm("c3-vm0", "c3", CAPABLE);
+	servers_remove(proxy.servers, "c2-s0");
+	record_domains(after);
+	for (i = 0; i < OBJECTS; i++) {
+		bool is_lost = !strcmp(before[i], "c2");
+
+		moved += is_lost;
+		g_assert_cmpint(!strcmp(before[i], after[i]), ==, !is_lost);
+	}
+	g_assert_cmpuint(moved, >, OBJECTS / 12);
+	teardown_single_servers();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -257,6 +361,7 @@
 	ADD_TEST("assignment", vms_that_cannot_send_are_not_assigned);
 	ADD_TEST("assignment", evacuated_and_draining_servers_get_no_objects);
 	ADD_TEST("assignment", cold_servers_get_a_part);
+	ADD_TEST("assignment", objects_keep_their_server_when_vms_change);
 	ADD_TEST("assignment", avoided_vm_is_left_out);
 	return g_test_run();
 }
--- a/test/unit/platform/load_header_test.c
+++ b/test/unit/platform/load_header_test.c
@@ -82,7 +82,7 @@
 static void odd_service_times_are_ignored_or_bounded(void)
 {
 	static const char *const odd[] = {
-		"",    "40",	"40,",	"40;130", "0,0",   "0,130",
+		"",    "40",	 "40,",	  "40;130", "0,0",   "0,130",
 		"x,1", "130,40", "-5,-4", "40,-5",  "+5,+6", ",130",
 	};
 	struct response_meta meta;
