fix(region): keep the bound on shifts with requests that go on elsewhere

**Problem** A region's shares and weights moved up to 0.09 of its requests in 2 s each, and requests that went on elsewhere after a refusal up to a further 0.17: their budget was 0.05 of the last 5 s and could be saved up. Together they exceed MaxShift, 0.15. Shares fell so slowly that a region with servers again took more than three minutes to take its objects back. An order that another VM refused without proof (a response 200 with Not-Executed) went on and could run twice. Refusals of requests with home regions raised the demand, which does not contain them. Requests without a response in time were not counted as trouble of their region. A request that went on elsewhere after a renewed connection took a closed kept connection of the next VM for a failure.

**Solution** Weights move what the shares leave of the step. Requests that go on elsewhere have a budget for each window of 2 s, 0.025 of the requests; VMs with few requests take turns. Shares fall as fast as they rise while the region is under 0.45 of its slots at its peak and refuses nothing. The proof is checked before the other region is chosen.

Tests: the step is 0.045/s as in exchange_region.c (was 0.03), so that the bound on shifts is tested as it is used; the assertions are unchanged. A region whose servers return has its objects back after 60 s (was 80 s), also with waves. New tests of pressure, of the bound on requests that go on elsewhere, and of exchange_choose_elsewhere(). handoff_send_test has a second region, and fails if the proof is checked later.

--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -19,6 +19,13 @@
 /* Shares fall this much slower than they rise. An object that returns finds its
  * server without it, and a crossing costs less than a queue at the next wave. */
 #define FALL_FRACTION 0.1
+/* Below this utilization at the peak demand the region has plenty of room: 0.6
+ * of the target. Without refusals, shares then fall as fast as they rise. With
+ * half of the target, a region at 0.39 at its peak took the last of its objects
+ * back slowly. */
+#define UTILIZATION_LOW 0.45
+/* Decayed number of refusals that counts as none: one, six seconds ago. */
+#define REFUSED_NONE 0.3
 /* Utilization of all slots that is assumed before the demand is known. */
 #define UTILIZATION_ASSUMED 0.5
 /* Round trip to another region before it is measured. */
@@ -39,11 +46,16 @@
 #define PRESSURE_RISE_PER_S 0.2
 #define PRESSURE_FALL_PER_S 0.03
 #define PRESSURE_MAX 2.0
-/* Fraction of the requests that may go on to another region after a refusal.
- * With what the shares move in two seconds, it is less than the limit. */
-#define ELSEWHERE_SHARE 0.05
+/* Fraction of the requests of two seconds that may go on to another region after
+ * a refusal. Any two seconds overlap two windows, so that it is at most 0.05 of
+ * their requests: with the shares' 0.09, less than the limit of 0.15. */
+#define ELSEWHERE_SHARE 0.025
+#define ELSEWHERE_WINDOW_MS 2000
+/* Fraction of requests that leave below which the weights move no faster. */
+#define LEAVING_MIN 0.5
 /* Makes the hash independent of those that rank servers and VMs. */
 #define OBJECT_SEED 0x5b111
+#define ELSEWHERE_SEED 0x5b113
 
 /* Routes beyond the limit count as the last one. */
 static uint32_t find_route(const struct region_share *share, uint64_t key)
@@ -165,7 +177,6 @@
 	for (i = 0; i < share->route_count; i++)
 		share->routes[i].count *= decay;
 	share->refused *= decay;
-	share->elsewhere *= decay;
 	share->weighted_ms =
 		share->weighted_ms * decay + RATE_TIME_CONSTANT_MS * (1 - decay);
 	route->count++;
@@ -216,9 +227,24 @@
 	share->refused++;
 }
 
-bool region_share_admit_elsewhere(struct region_share *share)
+bool region_share_admit_elsewhere(struct region_share *share, uint64_t vm_hash,
+				  int64_t now_ms)
 {
-	if (share->elsewhere + 1 > ELSEWHERE_SHARE * count_sum(share) + 1)
+	const uint64_t window = (uint64_t)(now_ms / ELSEWHERE_WINDOW_MS);
+	const uint64_t pair[2] = { vm_hash, window };
+	double allowed;
+
+	if (window != share->elsewhere_window) {
+		share->elsewhere_window = window;
+		share->elsewhere = 0;
+	}
+	allowed = ELSEWHERE_SHARE * count_sum(share) *
+		  fmin(1, ELSEWHERE_WINDOW_MS / (share->weighted_ms + 1));
+	/* a VM with few requests has a whole one in some of the windows only,
+	 * other VMs in others */
+	allowed += region_share_unit_hash(
+		XXH3_64bits_withSeed(pair, sizeof(pair), ELSEWHERE_SEED));
+	if (share->elsewhere + 1 > allowed)
 		return false;
 	share->elsewhere++;
 	return true;
@@ -292,11 +318,13 @@
 /* Moves the shares into the range between `low` and `high`, all together by no
  * more requests than allowed.
  *
- * @param rise, fall fraction of the service's requests that may move. */
-static void move_shares(struct region_share *share, const double *low,
-			const double *high, double rise, double fall)
+ * @param rise, fall fraction of the service's requests that may move.
+ * @return the fraction that moved. */
+static double move_shares(struct region_share *share, const double *low,
+			  const double *high, double rise, double fall)
 {
 	double sum = count_sum(share);
+	double moved;
 	double up = 0;
 	double down = 0;
 	uint32_t i;
@@ -309,6 +337,7 @@
 	}
 	rise = up > rise ? rise / up : 1;
 	fall = down > fall ? fall / down : 1;
+	moved = up * rise + down * fall;
 	for (i = 0; i < share->route_count; i++) {
 		struct region_share_route *route = &share->routes[i];
 
@@ -317,6 +346,7 @@
 		else if (route->share > high[i])
 			route->share -= (route->share - high[i]) * fall;
 	}
+	return moved;
 }
 
 /* The fraction of requests that moves at once because servers were lost. */
@@ -336,8 +366,22 @@
 	       share->demand;
 }
 
-static void adjust_shares(struct region_share *share,
-			  const struct region_share_view *view, double step)
+/* A region whose servers have returned takes its objects back within a minute;
+ * one that is full at the peaks keeps them away in each lull. */
+static double fall_fraction(const struct region_share *share,
+			    const struct region_share_view *view, double peak)
+{
+	const uint32_t slots = view->local_slots - view->local_unused_slots;
+	const double kept = peak * (1 - region_share_total(share));
+
+	return kept < UTILIZATION_LOW * slots && share->refused < REFUSED_NONE
+		       ? 1
+		       : FALL_FRACTION;
+}
+
+/* @return the fraction of the service's requests that the step moved. */
+static double adjust_shares(struct region_share *share,
+			    const struct region_share_view *view, double step)
 {
 	double peak = fmax(share->peak_demand, share->last_peak_demand);
 	double low[REGION_SHARE_ROUTES_MAX];
@@ -349,8 +393,8 @@
 		   high);
 	for (i = 0; i < share->route_count; i++)
 		high[i] = fmax(high[i], low[i]);
-	move_shares(share, low, high, step + part_of_loss(share, view),
-		    step * FALL_FRACTION);
+	return move_shares(share, low, high, step + part_of_loss(share, view),
+			   step * fall_fraction(share, view, peak));
 }
 
 /* Before the demand is known: assumes that it is the same in all regions.
@@ -385,6 +429,7 @@
 				int64_t now_ms)
 {
 	double elapsed_ms = (double)(now_ms - share->counted_ms);
+	double moved = 0;
 	double step;
 
 	if (!share->counted_ms) {
@@ -403,11 +448,16 @@
 		if (!share->demand)
 			share->usual_demand = 0;
 		estimate_demand(share, view, elapsed_ms, now_ms);
-		adjust_shares(share, view, step);
+		moved = adjust_shares(share, view, step);
 	} else {
 		assume_shares(share, view);
 	}
-	region_share_move_weights(share, view, step);
+	/* a change of weights moves the requests that leave: together with the
+	 * shares, no more than the step */
+	region_share_move_weights(share, view,
+				  fmax(0, step - moved) /
+					  fmax(region_share_total(share),
+					       LEAVING_MIN));
 	share->counted_ms = now_ms;
 	share->local_slots = view->local_slots;
 }
--- a/src/decide/region_share.h
+++ b/src/decide/region_share.h
@@ -18,7 +18,8 @@
  * demand elsewhere: other regions are assumed to have the same, corrected by
  * how requests sent there end. Demand beyond the target utilization leaves by
  * route. Shares rise with the demand and fall with its peak of the last waves,
- * so that objects do not change region in each wave. No I/O, no locking.
+ * slowly unless the region has plenty of room, so that objects do not change
+ * region in each wave. No I/O, no locking.
  */
 
 #define REGION_SHARE_ROUTES_MAX 32
@@ -60,8 +61,10 @@
 	int64_t counted_ms; /**< 0: no request so far */
 	/** Factor of the demand, at least 1: rises while this region refuses. */
 	double pressure;
-	double refused;	  /**< exponentially decayed number of refusals */
-	double elsewhere; /**< the same of requests that went on elsewhere */
+	double refused; /**< exponentially decayed number of refusals */
+	/** Requests that went on elsewhere in the current window. */
+	uint32_t elsewhere;
+	uint64_t elsewhere_window;
 };
 
 struct region_share_region {
@@ -127,8 +130,11 @@
  * Decides whether a request that a region has refused for lack of room may go
  * on to another one, and counts it if so. The number is limited, because the
  * fraction of requests that changes region in a window is.
+ *
+ * @param vm_hash of this VM's name: VMs with few requests take turns.
  */
-bool region_share_admit_elsewhere(struct region_share *share);
+bool region_share_admit_elsewhere(struct region_share *share, uint64_t vm_hash,
+				  int64_t now_ms);
 
 /** Records how a request ended that was sent to another region. */
 void region_share_record_end(struct region_share *share, const char *region,
--- a/src/decide/service_time.c
+++ b/src/decide/service_time.c
@@ -53,8 +53,8 @@
 	approach(&time->fast_ms, fast_ms);
 	approach(&time->slow_ms, slow_ms);
 	/* it is not reported, and must not stay behind the others */
-	time->typical_ms = fmin(fmax(time->typical_ms, time->fast_ms),
-				time->slow_ms);
+	time->typical_ms =
+		fmin(fmax(time->typical_ms, time->fast_ms), time->slow_ms);
 }
 
 void service_time_record(struct service_time *time, int64_t run_ms)
--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -129,14 +129,15 @@
 		place_not_run(e, "declined");
 		return;
 	}
+	/* before the region is chosen: the request must not run twice */
+	if (!outcome_status_means_not_run(attempt_status(e->attempt)))
+		e->worst_verdict = VERDICT_MAY_HAVE_RUN;
 	if (exchange_choose_elsewhere(e)) {
 		attempt_free(e->attempt);
 		e->attempt = NULL;
 		exchange_place_again(e);
 		return;
 	}
-	if (!outcome_status_means_not_run(attempt_status(e->attempt)))
-		e->worst_verdict = VERDICT_MAY_HAVE_RUN;
 	if (e->worst_verdict == VERDICT_NOT_RUN)
 		exchange_send_response(e);
 	else
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -142,6 +142,10 @@
  */
 bool exchange_choose_elsewhere(struct exchange *exchange);
 
+/** Records that a request had no response from a region in time. */
+void exchange_record_region_timeout(const struct exchange *exchange,
+				    const char *region);
+
 /** Adjusts the pace of a server that has started or recovered. */
 void exchange_record_ramp(const struct exchange *exchange, struct server *server,
 			  enum attempt_end end, int64_t elapsed_ms);
--- a/src/request/exchange_region.c
+++ b/src/request/exchange_region.c
@@ -284,6 +284,13 @@
 				region, end, now_ms);
 }
 
+void exchange_record_region_timeout(const struct exchange *e, const char *region)
+{
+	/* a caller that waited for less than the target says nothing */
+	if (is_late(e, proxy_now_ms(e->proxy)))
+		exchange_record_region_end(e, region, false);
+}
+
 static bool allows_other_region(const char *region, const void *context)
 {
 	const struct exchange *e = context;
@@ -291,6 +298,13 @@
 	return region != e->region && exchange_allows_region(e, region);
 }
 
+static uint64_t vm_hash(const struct proxy *proxy)
+{
+	const char *name = proxy->settings->name;
+
+	return XXH3_64bits(name, strlen(name));
+}
+
 bool exchange_choose_elsewhere(struct exchange *e)
 {
 	struct region_share *share = &exchange_service_state(e)->region_share;
@@ -301,19 +315,22 @@
 	if (e->handed_off || e->tried_elsewhere || !e->region ||
 	    !assignment_is_on(e->proxy->assignment))
 		return false;
-	if (e->region == e->proxy->region)
+	/* requests with home regions are not part of the demand */
+	if (e->region == e->proxy->region && !has_home_regions(e))
 		region_share_record_refusal(share);
 	if (e->worst_verdict != VERDICT_NOT_RUN || has_home_regions(e) ||
 	    left_ms < CROSSING_MS + (int64_t)time->slow_ms)
 		return false;
 	region = region_share_select(share, e->object_hash, allows_other_region,
 				     e);
-	if (!region || !region_share_admit_elsewhere(share))
+	if (!region || !region_share_admit_elsewhere(share, vm_hash(e->proxy),
+						     proxy_now_ms(e->proxy)))
 		return false;
 	e->tried_elsewhere = true;
 	e->region = region;
 	e->spilled_over = true;
 	e->handoff_decided = false;
+	e->handoff_renewed = false; /* another VM is chosen */
 	counter_add(COUNTER_CROSSED_REGION, 1);
 	return true;
 }
--- a/src/request/exchange_timeout.c
+++ b/src/request/exchange_timeout.c
@@ -72,7 +72,10 @@
 	}
 	if (e->attempt && attempt_server(e->attempt)->is_entry_vm) {
 		handoff_record_timeout(e);
+		exchange_record_region_timeout(e, e->region);
 	} else if (e->attempt && attempt_was_sent(e->attempt)) {
+		exchange_record_region_timeout(e,
+					       attempt_server(e->attempt)->region);
 		exchange_record_ramp(e, attempt_server(e->attempt),
 				     ATTEMPT_TIMED_OUT,
 				     attempt_elapsed_ms(e->attempt));
--- a/test/unit/decide/region_share_test.c
+++ b/test/unit/decide/region_share_test.c
@@ -7,7 +7,7 @@
 #define FAST_MS 162.5
 /* 0.15 of a region's requests may change region in 2 s. */
 #define SHIFT_MAX 0.15
-#define SHIFT_MAX_PER_S 0.03
+#define SHIFT_MAX_PER_S 0.045
 
 static const char *const names[] = { "fyn", "als", "mon" };
 
@@ -184,6 +184,115 @@
 	g_free(vm);
 }
 
+/* @return the largest number of requests that went on in any 2 s. */
+static uint32_t most_admitted(struct one_vm *vm, uint32_t seconds)
+{
+	/* 200 requests/s have 5 ms between them */
+	static uint32_t admitted[100000];
+	const uint32_t per_2_s = 400;
+	const uint32_t count = seconds * per_2_s / 2;
+	uint32_t most = 0;
+	uint32_t sum = 0;
+	uint32_t i;
+
+	g_assert_cmpuint(count, <=, ARRAY_SIZE(admitted));
+	for (i = 0; i < count; i++) {
+		region_share_count_request(&vm->share, &vm->view, &kinds[0],
+					   vm->now_ms);
+		admitted[i] =
+			region_share_admit_elsewhere(&vm->share, 1, vm->now_ms);
+		vm->now_ms += 5;
+		sum += admitted[i];
+		if (i >= per_2_s)
+			sum -= admitted[i - per_2_s];
+		most = MAX(most, sum);
+	}
+	return most;
+}
+
+/* A budget saved up in quiet times was spent within one window, which moved
+ * more requests than the bound on shifts allows. */
+static void requests_that_go_on_elsewhere_are_bounded(void)
+{
+	struct one_vm *vm = new_vm(72);
+	uint32_t most;
+
+	/* from the first request on, when the rate is not known */
+	most = most_admitted(vm, 60);
+	g_assert_cmpuint(most, <=, 400 * 5 / 100 + 2);
+	g_assert_cmpuint(most, >=, 10);
+	/* after a time without refusals */
+	while (vm->now_ms % 60000) {
+		region_share_count_request(&vm->share, &vm->view, &kinds[0],
+					   vm->now_ms);
+		vm->now_ms += 5;
+	}
+	g_assert_cmpuint(most_admitted(vm, 10), <=, 400 * 5 / 100 + 2);
+	g_free(vm);
+}
+
+/* VMs that see few requests, which each have one refused at the same moment,
+ * would exceed the bound together if each could send one on. */
+static void vms_with_few_requests_take_turns(void)
+{
+	struct one_vm *vm = new_vm(72);
+	uint32_t admitted = 0;
+	uint32_t i;
+
+	/* 28 requests in 2 s allow 0.7 */
+	send_kinds(vm, 60);
+	for (i = 0; i < 1000; i++) {
+		struct region_share share = vm->share;
+
+		admitted += region_share_admit_elsewhere(&share, i * 7919,
+							 vm->now_ms);
+	}
+	g_assert_cmpuint(admitted, >, 600);
+	g_assert_cmpuint(admitted, <, 800);
+	g_free(vm);
+}
+
+/* Load pattern: servers are slow, so that the demand needs more slots than the
+ * service time says, and the region refuses. */
+static void refusals_of_the_region_raise_its_demand(void)
+{
+	struct one_vm *vm = new_vm(144);
+	uint32_t i;
+
+	send_kinds(vm, 60);
+	g_assert_cmpfloat(vm->share.pressure, ==, 1);
+	g_assert_cmpfloat(region_share_total(&vm->share), ==, 0);
+	for (i = 0; i < 20; i++) {
+		region_share_record_refusal(&vm->share);
+		send_kinds(vm, 1);
+	}
+	g_assert_cmpfloat(vm->share.pressure, ==, 2);
+	g_assert_cmpfloat(region_share_total(&vm->share), >, 0.1);
+	/* without refusals, the demand is soon what it was */
+	send_kinds(vm, 60);
+	g_assert_cmpfloat(vm->share.pressure, ==, 1);
+	/* and the objects return when its peak is forgotten */
+	send_kinds(vm, 180);
+	g_assert_cmpfloat(region_share_total(&vm->share), ==, 0);
+	g_free(vm);
+}
+
+/* One refusal among many requests says nothing about the region. */
+static void rare_refusals_change_nothing(void)
+{
+	struct one_vm *vm = new_vm(144);
+	uint32_t i;
+
+	send_kinds(vm, 60);
+	for (i = 0; i < 10; i++) {
+		region_share_record_refusal(&vm->share);
+		send_kinds(vm, 20);
+		g_assert_cmpfloat(vm->share.pressure, ==, 1);
+	}
+	g_assert_cmpfloat(region_share_total(&vm->share), ==, 0);
+	g_free(vm);
+}
+
 static bool is_mon(const char *region, const void *context)
 {
 	(void)context;
@@ -214,6 +323,10 @@
 	ADD_TEST("region_share", refusals_push_objects_to_other_regions);
 	ADD_TEST("region_share", refusals_everywhere_lower_the_share);
 	ADD_TEST("region_share", limits_of_servers_raise_the_share_slowly);
+	ADD_TEST("region_share", requests_that_go_on_elsewhere_are_bounded);
+	ADD_TEST("region_share", vms_with_few_requests_take_turns);
+	ADD_TEST("region_share", refusals_of_the_region_raise_its_demand);
+	ADD_TEST("region_share", rare_refusals_change_nothing);
 	ADD_TEST("region_share", only_allowed_regions_are_selected);
 	return g_test_run();
 }
--- a/test/unit/decide/region_waves_test.c
+++ b/test/unit/decide/region_waves_test.c
@@ -21,7 +21,7 @@
 #define WINDOW_MS 2000
 /* 0.15 of a region's requests may change region in 2 s. */
 #define SHIFT_MAX 0.15
-#define SHIFT_MAX_PER_S 0.03
+#define SHIFT_MAX_PER_S 0.045
 #define WAVE_S 36.0
 
 static const char *const names[REGIONS] = { "fyn", "als", "mon" };
@@ -34,9 +34,12 @@
 	struct region_share shares[REGIONS][VMS_MAX];
 	uint32_t slots[REGIONS];
 	double swing;
-	uint32_t vms;	   /* of each region */
-	double rate_per_s; /* of each VM */
-	double fast_ms;	   /* so that the rate needs MEAN_DEMAND slots */
+	double refused;	  /* fraction of the requests in the small region */
+	double elsewhere; /* in the current window, from the small region */
+	double highest_elsewhere; /* fraction, since reset_measures() */
+	uint32_t vms;		  /* of each region */
+	double rate_per_s;	  /* of each VM */
+	double fast_ms;		  /* so that the rate needs MEAN_DEMAND slots */
 	int64_t now_ms;
 	GRand *rand;
 	struct window window;	/* current */
@@ -99,6 +102,15 @@
 	region_share_count_request(share, &view, &request, fleet->now_ms);
 	if (region_share_is_remote(share, request.route_key, object))
 		to = index_of(region_share_select(share, object, NULL, NULL));
+	if (region == SMALL && to == SMALL &&
+	    g_rand_double(fleet->rand) < fleet->refused) {
+		region_share_record_refusal(share);
+		if (region_share_admit_elsewhere(share, vm * 7919 + 1,
+						 fleet->now_ms)) {
+			to = g_rand_boolean(fleet->rand) ? 0 : 2;
+			fleet->elsewhere++;
+		}
+	}
 	fleet->window.sent[region][to]++;
 }
 
@@ -145,6 +157,10 @@
 				       fleet->now_ms, away, needed,
 				       fleet->slots[to]);
 	}
+	fleet->highest_elsewhere =
+		fmax(fleet->highest_elsewhere,
+		     fleet->elsewhere / sent_from(window, SMALL));
+	fleet->elsewhere = 0;
 	fleet->previous = *window;
 	fleet->windows++;
 	memset(&fleet->window, 0, sizeof(fleet->window));
@@ -160,6 +176,7 @@
 		fleet->lowest_away[i] = 1;
 		fleet->largest_shift[i] = 0;
 	}
+	fleet->highest_elsewhere = 0;
 	fleet->windows = 0;
 }
 
@@ -321,12 +338,13 @@
 }
 
 /* A region without servers of the service keeps nothing, large bodies and
- * routes without room for the crossing included; with servers again, objects
- * come back within the bound. */
-static void region_without_servers_sends_all_away(void)
+ * routes without room for the crossing included; with servers again, all
+ * objects come back within the bound on shifts and a minute. */
+static void run_loss_and_return(double swing, double rate_per_s)
 {
-	struct fleet *fleet = new_fleet(5, RATE_PER_S);
+	struct fleet *fleet = new_fleet(5, rate_per_s);
 
+	fleet->swing = swing;
 	run_fleet(fleet, 20);
 	fleet->slots[0] = 0;
 	run_fleet(fleet, 2);
@@ -335,14 +353,71 @@
 	g_assert_cmpfloat(fleet->lowest_away[0], ==, 1);
 	fleet->slots[0] = 360;
 	reset_measures(fleet);
-	run_fleet(fleet, 80);
+	run_fleet(fleet, 60);
 	assert_shifts_stay_small(fleet);
 	reset_measures(fleet);
-	run_fleet(fleet, 10);
+	run_fleet(fleet, 30);
 	g_assert_cmpfloat(fleet->highest_away[0], ==, 0);
 	free_fleet(fleet);
 }
 
+static void region_without_servers_sends_all_away(void)
+{
+	run_loss_and_return(0, RATE_PER_S);
+	run_loss_and_return(0.55, RATE_PER_S);
+	run_loss_and_return(0.55, RATE_LOW_PER_S);
+}
+
+static void run_refusals(uint32_t seed, double swing, double rate_per_s)
+{
+	struct fleet *fleet = new_fleet(seed, rate_per_s);
+	double before;
+
+	fleet->swing = swing;
+	run_fleet(fleet, 108);
+	reset_measures(fleet);
+	run_fleet(fleet, 36);
+	before = fleet->lowest_away[SMALL];
+	reset_measures(fleet);
+	fleet->refused = 0.3;
+	run_fleet(fleet, 36);
+	g_test_message("seed=%u before=%.2f away=%.2f..%.2f elsewhere=%.3f "
+		       "shift=%.3f",
+		       seed, before, fleet->lowest_away[SMALL],
+		       fleet->highest_away[SMALL], fleet->highest_elsewhere,
+		       fleet->largest_shift[SMALL]);
+	assert_shifts_stay_small(fleet);
+	g_assert_cmpfloat(fleet->highest_elsewhere, >, 0.01);
+	g_assert_cmpfloat(fleet->highest_elsewhere, <, 0.05);
+	g_assert_cmpfloat(fleet->highest_away[SMALL], >, before + 0.1);
+	fleet->refused = 0;
+	run_fleet(fleet, 180);
+	assert_shifts_stay_small(fleet);
+	reset_measures(fleet);
+	run_fleet(fleet, 36);
+	g_test_message("after: away=%.2f..%.2f", fleet->lowest_away[SMALL],
+		       fleet->highest_away[SMALL]);
+	g_assert_cmpfloat(fleet->lowest_away[SMALL], <, before + 0.1);
+	g_assert_cmpfloat(fleet->highest_away[0], ==, 0);
+	g_assert_cmpfloat(fleet->highest_away[2], ==, 0);
+	free_fleet(fleet);
+}
+
+/* Load pattern: servers of the small region slow down from one moment to the
+ * next, and it refuses 0.3 of its requests. More objects leave, and some of the
+ * refused requests go on at once; together they are within the bound on shifts.
+ * The objects return within three minutes after the refusals end. */
+static void refusals_raise_the_share_within_the_bound(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 3; seed++) {
+		run_refusals(seed, 0, RATE_PER_S);
+		run_refusals(seed, 0.55, RATE_PER_S);
+		run_refusals(seed, 0.55, RATE_LOW_PER_S);
+	}
+}
+
 /* Requests go to the region that is left when another is lost. */
 static void lost_region_gets_nothing(void)
 {
@@ -381,6 +456,7 @@
 	ADD_TEST("region_waves",
 		 evacuation_moves_objects_at_once_and_back_slowly);
 	ADD_TEST("region_waves", region_without_servers_sends_all_away);
+	ADD_TEST("region_waves", refusals_raise_the_share_within_the_bound);
 	ADD_TEST("region_waves", lost_region_gets_nothing);
 	ADD_TEST("region_waves", equally_full_regions_keep_their_requests);
 	return g_test_run();
--- a/test/unit/fleet/servers_test.c
+++ b/test/unit/fleet/servers_test.c
@@ -225,9 +225,9 @@
 	return ramp_window(&server->ramp, server->load.slots);
 }
 
-/* A server whose entry names no cold time runs already: when a fleet starts, its
- * servers are listed one after the other, and all of them got one request at a
- * time. */
+/* A server whose entry names no cold time runs already: when a fleet starts,
+ * its servers are listed one after the other, and all of them got one request
+ * at a time. */
 static void servers_that_start_get_few_requests(void)
 {
 	struct servers *servers = one_server();
--- a/test/unit/handoff/handoff_send_test.c
+++ b/test/unit/handoff/handoff_send_test.c
@@ -83,6 +83,77 @@
 	}
 }
 
+/* The server of another region, without a VM to hand off to. */
+static struct responder *put_remote_server(void)
+{
+	struct server_entry entry = {
+		.id = (char *)"s3",
+		.service = (char *)"reg",
+		.failure_domain = (char *)"jyl-a",
+		.version = (char *)"v1",
+		.slots = 4,
+	};
+	struct responder *responder =
+		listen_anywhere(handle_backend_request, NULL, &entry.address);
+
+	servers_put(proxy.servers, &entry);
+	return responder;
+}
+
+static void remove_remote_server(struct responder *responder)
+{
+	struct server *s3 = servers_find(proxy.servers, "s3");
+
+	while (s3->idle)
+		pool_discard(s3->idle);
+	responder_free(responder);
+	servers_remove(proxy.servers, "s3");
+}
+
+/* Enough requests that one may go on to another region. */
+static void allow_other_region(void)
+{
+	struct service_state *state =
+		g_hash_table_lookup(proxy.service_states, "reg");
+
+	g_assert_nonnull(state);
+	state->region_share.routes[0].count = 1000;
+}
+
+/* An order whose response does not prove that it has not run went on to another
+ * region, and ran there a second time. */
+static void refused_order_goes_on_only_with_proof(void)
+{
+	static const struct {
+		const char *responses[2];
+		int status;
+		uint32_t requests;
+	} cases[] = {
+		{ { SUCCESS, ERROR("503", "Not-Executed: 1\r\n") }, 200, 1 },
+		{ { SUCCESS, ERROR("503", "") }, 502, 0 },
+		{ { SUCCESS, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+			     "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" },
+		  502,
+		  0 },
+		{ { SUCCESS, "" }, 502, 0 },
+	};
+	struct responder *remote;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup_peer(false, cases[i].responses, 2);
+		remote = put_remote_server();
+		g_assert_cmpint(request_status(), ==, 200);
+		g_assert_cmpuint(peer.requests, ==, 1);
+		allow_other_region();
+		g_assert_cmpint(request_status(), ==, cases[i].status);
+		g_assert_cmpuint(peer.requests, ==, 2);
+		g_assert_cmpuint(backend.requests, ==, cases[i].requests);
+		remove_remote_server(remote);
+		teardown_peer();
+	}
+}
+
 /* A VM that stops would otherwise have callers wait for its successor. */
 static void declined_order_is_placed_directly(void)
 {
@@ -409,6 +480,7 @@
 	ADD_TEST("handoff", request_arrives_with_its_headers);
 	ADD_TEST("handoff", errors_of_the_other_vm_are_delivered);
 	ADD_TEST("handoff", refusal_without_proof_is_not_delivered);
+	ADD_TEST("handoff", refused_order_goes_on_only_with_proof);
 	ADD_TEST("handoff", declined_order_is_placed_directly);
 	ADD_TEST("handoff", vm_that_refuses_connections_is_avoided);
 	ADD_TEST("handoff", vm_that_accepts_nothing_costs_250_ms);
--- a/test/unit/handoff/handoff_vm.h
+++ b/test/unit/handoff/handoff_vm.h
@@ -11,9 +11,11 @@
  * of requests that are passed on between VMs.
  */
 
-/* The server's failure domain, and one of the same region without servers. */
+/* The server's failure domain, one of the same region without servers, and one
+ * of another region. */
 static struct topology_domain handoff_domains[] = { { "fyn-a", "fyn" },
-						    { "fyn-b", "fyn" } };
+						    { "fyn-b", "fyn" },
+						    { "jyl-a", "jyl" } };
 
 #define SERVER_HEADERS "Request-Id: r1\r\nResponse-Stamp: a.b\r\n"
 
@@ -56,10 +58,10 @@
 static inline void put_vm_in(const char *name, const char *failure_domain,
 			     const char *handoff_address)
 {
-	char *text = g_strdup_printf(
-		"{\"address\":\"127.0.0.1:1\",\"failure_domain\":\"%s\","
-		"\"handoff_address\":\"%s\",\"weight\":500}",
-		failure_domain, handoff_address);
+	char *text =
+		g_strdup_printf("{\"address\":\"127.0.0.1:1\",\"failure_domain\":\"%s\","
+				"\"handoff_address\":\"%s\",\"weight\":500}",
+				failure_domain, handoff_address);
 
 	vms_put(proxy.vms, name, text, strlen(text));
 	g_free(text);
--- a/test/unit/request/exchange_region_test.c
+++ b/test/unit/request/exchange_region_test.c
@@ -11,6 +11,7 @@
 	{ "als-b", "als" }, { "mon-a", "mon" }, { "mon-b", "mon" },
 };
 static struct service service = { .name = "reg" };
+static struct proxy_settings settings = { .name = (char *)"als-vm1" };
 static char *fyn_home[] = { "fyn" };
 static char *als_home[] = { "als", "mon" };
 
@@ -20,6 +21,7 @@
 
 	now = clock_from_manual(&manual);
 	proxy->clock = &now;
+	proxy->settings = &settings;
 	proxy->topology.domains = domains;
 	proxy->topology.domain_count = G_N_ELEMENTS(domains);
 	proxy->region = g_intern_string("als");
@@ -247,6 +249,144 @@
 	free_proxy(proxy);
 }
 
+/* Requests without a response were not counted: a region whose servers hang got
+ * as many as before. */
+static void timeouts_are_trouble_of_the_region(void)
+{
+	struct proxy *proxy = three_regions();
+	struct route route = one_route();
+	struct exchange e = one_exchange(proxy, &route, 1);
+	const struct region_share_peer *peers;
+	const char *mon = g_intern_string("mon");
+	double trouble = 0;
+	uint32_t i;
+
+	exchange_choose_region(&e);
+	peers = exchange_service_state(&e)->region_share.peers;
+	/* the caller waited for less than the target */
+	clock_manual_advance_ms(&manual, 300);
+	exchange_record_region_timeout(&e, mon);
+	for (i = 0; i < 2; i++)
+		trouble += peers[i].trouble;
+	g_assert_cmpfloat(trouble, ==, 0);
+	clock_manual_advance_ms(&manual, 20000);
+	exchange_record_region_timeout(&e, mon);
+	for (i = 0; i < 2; i++)
+		trouble += peers[i].trouble;
+	g_assert_cmpfloat(trouble, >, 0);
+	free_proxy(proxy);
+}
+
+/* Counts requests, and makes one for an object that stays in this region.
+ * Afterwards more than one request may go on elsewhere. */
+static struct exchange refused_exchange(struct proxy *proxy,
+					const struct route *route)
+{
+	struct exchange e = { 0 };
+	uint64_t object;
+
+	count_away(proxy, route);
+	for (object = 0; object < 200; object++) {
+		e = one_exchange(proxy, route, object * 7919);
+		exchange_choose_region(&e);
+		if (!e.spilled_over)
+			break;
+	}
+	g_assert_true(e.region == proxy->region);
+	e.deadline_ms = proxy_now_ms(proxy) + 20000;
+	e.handoff_decided = true;
+	return e;
+}
+
+/* A request that is passed from region to region would load all of them. */
+static void refused_request_goes_on_once(void)
+{
+	struct proxy *proxy = three_regions();
+	struct route route = one_route();
+	struct exchange e = refused_exchange(proxy, &route);
+	const char *region;
+
+	g_assert_true(exchange_choose_elsewhere(&e));
+	g_assert_true(e.region != proxy->region);
+	g_assert_true(e.spilled_over);
+	g_assert_false(e.handoff_decided);
+	region = e.region;
+	g_assert_false(exchange_choose_elsewhere(&e));
+	g_assert_true(e.region == region);
+	free_proxy(proxy);
+}
+
+/* Guards against orders that run twice, requests outside of their home regions,
+ * and crossings that end in a timeout. */
+static void refused_request_stays(void)
+{
+	struct proxy *proxy = three_regions();
+	struct route route = one_route();
+	struct route home_route = one_route();
+	struct workspace workspace = {
+		.home_regions = als_home,
+		.home_region_count = 2,
+	};
+	const struct exchange refused = refused_exchange(proxy, &route);
+	const double slow_ms = exchange_route_state(&refused)->time.slow_ms;
+	struct exchange cases[7];
+	uint32_t i;
+
+	home_route.home_regions = als_home;
+	home_route.home_region_count = 2;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		cases[i] = refused;
+	cases[0].worst_verdict = VERDICT_MAY_HAVE_RUN;
+	cases[1].worst_verdict = VERDICT_RAN;
+	cases[2].workspace = &workspace;
+	cases[3].route = &home_route;
+	/* 70 ms for the crossing */
+	cases[4].deadline_ms = proxy_now_ms(proxy) + 70 + (int64_t)slow_ms - 1;
+	cases[5].handed_off = true;
+	cases[6].region = NULL;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *region = cases[i].region;
+
+		g_assert_false(exchange_choose_elsewhere(&cases[i]));
+		g_assert_true(cases[i].region == region);
+		g_assert_false(cases[i].spilled_over);
+	}
+	cases[0] = refused;
+	fake_assignment_on = false;
+	g_assert_false(exchange_choose_elsewhere(&cases[0]));
+	fake_assignment_on = true;
+	/* it was not the bound on their number that kept the others */
+	cases[0].deadline_ms = proxy_now_ms(proxy) + 70 + (int64_t)slow_ms;
+	g_assert_true(exchange_choose_elsewhere(&cases[0]));
+	free_proxy(proxy);
+}
+
+/* Refusals raise the demand that is assumed: those of requests that are not
+ * part of the demand, or of another region, must not. */
+static void refusals_of_counted_requests_are_recorded(void)
+{
+	struct proxy *proxy = three_regions();
+	struct route route = one_route();
+	struct workspace workspace = {
+		.home_regions = als_home,
+		.home_region_count = 2,
+	};
+	struct exchange e = refused_exchange(proxy, &route);
+	struct region_share *share = &exchange_service_state(&e)->region_share;
+
+	e.workspace = &workspace;
+	exchange_choose_elsewhere(&e);
+	g_assert_cmpfloat(share->refused, ==, 0);
+	e.workspace = NULL;
+	e.region = g_intern_string("mon");
+	exchange_choose_elsewhere(&e);
+	g_assert_cmpfloat(share->refused, ==, 0);
+	e = refused_exchange(proxy, &route);
+	exchange_choose_elsewhere(&e);
+	g_assert_cmpfloat(share->refused, ==, 1);
+	free_proxy(proxy);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -256,5 +396,9 @@
 	ADD_TEST("exchange_region", evacuated_region_sends_all_away);
 	ADD_TEST("exchange_region", homes_are_kept);
 	ADD_TEST("exchange_region", handoffs_give_the_service_time);
+	ADD_TEST("exchange_region", timeouts_are_trouble_of_the_region);
+	ADD_TEST("exchange_region", refused_request_goes_on_once);
+	ADD_TEST("exchange_region", refused_request_stays);
+	ADD_TEST("exchange_region", refusals_of_counted_requests_are_recorded);
 	return g_test_run();
 }
