fix(queue): refuse waiting requests whose key was removed

**Problem**: A key is checked when a request is placed. A request that then waited for a slot was sent without another check, so that a key which a newer configuration removed in the meantime was still served from the queue.

**Solution**: The queue checks the key immediately before it sends a request, as for other requests, and responds 401.

--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -322,7 +322,7 @@
 		event_active(queue->dispatch, EV_TIMEOUT, 0);
 }
 
-/* Sends the request at `position` of the sorted entries. */
+/* Sends the request at `position` of the sorted entries, or refuses it. */
 static void send_waiting(struct wait_queue *queue,
 			 struct service_queue *service, uint32_t count,
 			 uint32_t position, const struct finish_choice *choice)
@@ -331,6 +331,9 @@
 	struct server *server = view.servers[choice->index];
 	const bool cached = view.states[choice->index].cached;
 
+	/* the key may have been removed while the request waited */
+	if (exchange_refuse_removed_key(e))
+		return;
 	entries[position].run_ms = choice->run_ms;
 	wait_order_record_sent(service->order, entries, count, position,
 			       proxy_now_ms(queue->proxy));
--- a/test/unit/request/exchange_own_test.c
+++ b/test/unit/request/exchange_own_test.c
@@ -2,6 +2,7 @@
 #include "base/counter.h"
 #include "queue/wait_queue.h"
 #include "unit/proxy/stopping_vm.h"
+#include "workspace/keys.h"
 
 /* Requests that wait in this VM for servers that are assigned to it. */
 
@@ -332,6 +333,60 @@
 	teardown_own();
 }
 
+/* Puts a configuration in force in which one workspace has `key`. */
+static void set_key(const char *key)
+{
+	struct config *config = new_config();
+
+	config->has_large_bodies = true;
+	g_assert_true(config_add_workspaces(config, 1));
+	config->workspaces[0].name = strdup("dairy");
+	g_assert_true(workspace_keys_add(config->keys, key, 0));
+	config_unref(proxy.config);
+	proxy.config = config;
+}
+
+static int send_with_key(const char *key)
+{
+	char *text = g_strdup_printf("GET /note HTTP/1.1\r\nHost: a.example\r\n"
+				     "Request-Id: r1\r\nDeadline-Ms: 20000\r\n"
+				     "Authorization: Bearer %s\r\n\r\n",
+				     key);
+	int fds[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
+			==, 0);
+	caller_accept(&proxy, fds[0]);
+	g_assert_cmpint(write(fds[1], text, strlen(text)), ==,
+			(ssize_t)strlen(text));
+	g_free(text);
+	return fds[1];
+}
+
+/* Guards against a request that is sent with a key that was removed while the
+ * request waited. */
+static void removed_key_is_refused_after_waiting(void)
+{
+	int fds[SLOTS + 1];
+	uint32_t i;
+
+	setup_own();
+	set_key("k1");
+	for (i = 0; i < SLOTS + 1; i++)
+		fds[i] = send_with_key("k1");
+	run_ms(50);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 1);
+	set_key("k9");
+	for (i = 0; i < SLOTS; i++)
+		answer(OWN_ANSWER, 200);
+	g_assert_cmpuint(wait_queue_length(proxy.wait_queue), ==, 0);
+	g_assert_cmpuint(arrivals, ==, SLOTS);
+	g_assert_cmpint(take_status(fds[SLOTS]), ==, 401);
+	for (i = 0; i < SLOTS; i++)
+		g_assert_cmpint(take_status(fds[i]), ==, 200);
+	teardown_own();
+}
+
 /* A process that exits tells waiting callers that nothing has run. */
 static void waiting_requests_are_answered_at_exit(void)
 {
@@ -366,6 +421,7 @@
 	ADD_TEST("exchange_own", hopeless_requests_are_refused);
 	ADD_TEST("exchange_own", late_requests_leave_for_those_in_time);
 	ADD_TEST("exchange_own", retry_waits_for_another_server);
+	ADD_TEST("exchange_own", removed_key_is_refused_after_waiting);
 	ADD_TEST("exchange_own", waiting_requests_are_answered_at_exit);
 	return g_test_run();
 }
