fix(workspace): refuse spaces in names of headers

**Problem**: The HTTP parser accepts a space in the name of a header. With workspaces, "Tenant-Id : NAME" and "Authorization : Bearer KEY" were not recognized as headers to remove and reached the server, which may read them without the space: the caller could name its workspace, and a key was passed on.

**Solution**: Where the configuration has Tenants, such a request gets 400, as RFC 9112 section 5.1 requires. Without Tenants, nothing changes.

**Result**: The new test space_after_a_header_name_passes_nothing_on saw the request at the server before the change, and passes with it.

--- a/src/request/exchange_match.c
+++ b/src/request/exchange_match.c
@@ -31,6 +31,19 @@
 	return count == 1;
 }
 
+/* The parser accepts a space in the name of a header, also before the colon
+ * (RFC 9112 section 5.1 forbids it). A server that ignores the space would take
+ * such a header for the caller's key or the workspace. */
+static bool has_space_in_name(const struct http_head *head)
+{
+	uint32_t i;
+
+	for (i = 0; i < head->header_count; i++)
+		if (strchr(head->headers[i].name, ' '))
+			return true;
+	return false;
+}
+
 /* @return whether the request may use its route. */
 static bool find_workspace(struct exchange *e, const struct http_head *head)
 {
@@ -60,6 +73,10 @@
 		exchange_set_refusal(e, 503, "no-configuration");
 		return;
 	}
+	if (e->config->has_workspaces && has_space_in_name(head)) {
+		exchange_set_refusal(e, 400, "space-in-header-name");
+		return;
+	}
 	copy_host(head, host, sizeof(host));
 	e->route = config_find_route(e->config, host, head->target);
 	if (!e->route) {
--- a/test/unit/request/workspace_test.c
+++ b/test/unit/request/workspace_test.c
@@ -111,6 +111,23 @@
 	teardown_requests();
 }
 
+/* Guards against a name of a header that is not recognized because of a space
+ * before the colon, and that the server may read without the space. */
+static void space_after_a_header_name_passes_nothing_on(void)
+{
+	int fd;
+
+	setup_requests(false);
+	set_config(2, "k1", true, true);
+	fd = connect_caller();
+	send_text(fd, "GET",
+		  "Tenant-Id : dairy\r\nAuthorization : Bearer k1\r\n", "");
+	run_ms(50);
+	g_assert_cmpuint(queue.arrived, ==, 0);
+	g_assert_cmpint(take_status(fd), ==, 400);
+	teardown_requests();
+}
+
 static void request_without_a_valid_key_gets_401(void)
 {
 	static const char *const headers[] = { "", "Authorization: Bearer k2\r\n",
@@ -302,6 +319,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_TEST("workspace", server_gets_the_workspace_and_not_the_key);
+	ADD_TEST("workspace", space_after_a_header_name_passes_nothing_on);
 	ADD_TEST("workspace", request_without_a_valid_key_gets_401);
 	ADD_TEST("workspace", vm_without_a_configuration_responds_503);
 	ADD_TEST("workspace", anonymous_route_needs_no_key);
