perf(handoff): check the assignment of a received request in constant time

**Problem**: For each request that another VM handed off, the receiver looked up the assignment once for every server of the service, although only a few are its own: the cost of a request grew with the fleet.

**Solution**: It asks for the list of its own servers once.

**Result**: The tests of the handoff pass unchanged; the cost was not measured.

--- a/src/handoff/receive.c
+++ b/src/handoff/receive.c
@@ -11,19 +11,14 @@
  * request has not run. */
 #define STATUS_OTHER_RECEIVER 421
 
-/* @return whether this VM is assigned to any server that the request may go to. */
+/* @return whether this VM is assigned to any server that the request may go to.
+ * The list has the few servers of this VM only, not those of the fleet. */
 static bool is_assigned(const struct exchange *e)
 {
-	const struct proxy *proxy = e->proxy;
-	const GPtrArray *list =
-		servers_for_service(proxy->servers, e->service->name);
-	guint i;
+	const GPtrArray *own =
+		assignment_own_servers(e->proxy->assignment, e->service->name);
 
-	for (i = 0; i < list->len; i++)
-		if (assignment_is_own_server(proxy->assignment,
-					     g_ptr_array_index(list, i)))
-			return true;
-	return false;
+	return own && own->len;
 }
 
 void handoff_check_request(struct exchange *e, const char *receiver)
