fix(queue): bound the requests that one check of the queue places

**Problem**: A check went on until no waiting request could be placed. While all servers pause, a request that is too late is placed again; the estimate of a request that arrives ignores the server's fourth field of Backend-Load and may let it wait again, so that the check could place the same request over and over and hold up the event loop. Found by reading; not observed.

**Solution**: A check places at most as many requests as wait when it begins.

**Result**: The tests of the queue (exchange_own_test) pass unchanged. No test constructs the repetition.

--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -358,7 +358,9 @@
 }
 
 /* Processes one waiting request: sends it, refuses it, or places it elsewhere.
- * Others may leave the queue with it. @return whether there was one. */
+ * Others may leave the queue with it. One that is placed again may return to the
+ * queue, as the estimate of a request that arrives differs from that of one that
+ * waits: callers bound the number of calls. @return whether there was one. */
 static bool advance(struct wait_queue *queue, struct service_queue *service)
 {
 	struct exchange *leaving = find_leaving(queue, service);
@@ -420,9 +422,10 @@
 	for (i = 0; i < queue->services->len; i++) {
 		struct service_queue *service =
 			g_ptr_array_index(queue->services, i);
+		guint left = service->waiting->len;
 
-		while (service->waiting->len && has_work(queue, service) &&
-		       advance(queue, service))
+		while (left-- && service->waiting->len &&
+		       has_work(queue, service) && advance(queue, service))
 			;
 	}
 }
@@ -437,8 +440,9 @@
 	for (i = 0; i < queue->services->len; i++) {
 		struct service_queue *service =
 			g_ptr_array_index(queue->services, i);
+		guint left = service->waiting->len;
 
-		while (service->waiting->len && advance(queue, service))
+		while (left-- && service->waiting->len && advance(queue, service))
 			;
 	}
 	if (queue->length)
