--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -19,10 +19,9 @@
 /* Shares fall this much slower than they rise. An object that returns finds its
  * server without it, and a crossing costs less than a queue at the next wave. */
 #define FALL_FRACTION 0.1
-/* Below this utilization at the peak demand the region has plenty of room: 0.6
- * of the target. Without refusals, shares then fall as fast as they rise. With
- * half of the target, a region at 0.39 at its peak took the last of its objects
- * back slowly. */
+/* If the peak demand would use less of the slots than this, with all objects in
+ * the region, it has plenty of room. Without refusals, shares then fall as fast
+ * as they rise. */
 #define UTILIZATION_LOW 0.45
 /* Decayed number of refusals that counts as none: one, six seconds ago. */
 #define REFUSED_NONE 0.3
@@ -372,9 +371,8 @@
 			    const struct region_share_view *view, double peak)
 {
 	const uint32_t slots = view->local_slots - view->local_unused_slots;
-	const double kept = peak * (1 - region_share_total(share));
 
-	return kept < UTILIZATION_LOW * slots && share->refused < REFUSED_NONE
+	return peak < UTILIZATION_LOW * slots && share->refused < REFUSED_NONE
 		       ? 1
 		       : FALL_FRACTION;
 }
