--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -22,7 +22,7 @@
 /* If the peak demand would use less of the slots than this, with all objects in
  * the region, it has plenty of room. Without refusals, shares then fall as fast
  * as they rise. */
-#define UTILIZATION_LOW 0.45
+#define UTILIZATION_LOW 0.55
 /* Decayed number of refusals that counts as none: one, six seconds ago. */
 #define REFUSED_NONE 0.3
 /* Utilization of all slots that is assumed before the demand is known. */
