feat(decide): learn how many objects servers cache

**Problem**: the assigned VM assumed that each server caches the last 10 objects. At services that cache 27, half of the requests counted as misses that were none, so that their run time was overestimated three times. **Solution**: 48 recent objects are kept in order for each server. decide/cache_depth estimates for each service how many of them are cached: for each position, evidence from runs that are nearer to the run time of a hit or of a miss; the estimate moves by a twentieth towards the most likely depth with each run. Retries and runs that waited at the server do not count. Mean run times of hits are taken only from positions below half of the depth, those of misses only from objects that are not among the recent ones. A refused request for an object that was not cached leaves the recent objects again. The depth is in the log of placements. wait_model and finish_test use positions instead of recent_objects_contain(); the model's servers cache 10 objects, as before.

--- a/src/decide/recent_objects.c
+++ b/src/decide/recent_objects.c
@@ -27,8 +27,21 @@
 	objects->hashes[0] = object_hash;
 }
 
-bool recent_objects_contain(const struct recent_objects *objects,
-			    uint64_t object_hash)
+void recent_objects_remove(struct recent_objects *objects, uint64_t object_hash)
 {
-	return find(objects, object_hash) < objects->count;
+	uint32_t position = find(objects, object_hash);
+
+	if (position == objects->count)
+		return;
+	objects->count--;
+	memmove(&objects->hashes[position], &objects->hashes[position + 1],
+		(objects->count - position) * sizeof(objects->hashes[0]));
+}
+
+uint32_t recent_objects_position(const struct recent_objects *objects,
+				 uint64_t object_hash)
+{
+	uint32_t position = find(objects, object_hash);
+
+	return position < objects->count ? position : RECENT_OBJECTS_ABSENT;
 }
--- a/src/proxy/proxy_defs.h
+++ b/src/proxy/proxy_defs.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "decide/cache_depth.h"
 #include "decide/object_cache.h"
 #include "decide/region_share.h"
 #include "decide/retry_share.h"
@@ -45,6 +46,7 @@
 	struct region_share region_share;
 	double logged_share; /**< of `region_share`, last logged */
 	struct service_time time;
+	struct cache_depth cache_depth; /**< of servers assigned to this VM */
 };
 
 /** Per-route state of this VM. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -14,6 +14,7 @@
 #include "platform/header_codec.h"
 #include "quota/quota.h"
 #include "request/exchange_internal.h"
+#include "request/exchange_own.h"
 #include "request/headers.h"
 #include "sync/crash.h"
 
@@ -302,7 +303,7 @@
 	}
 }
 
-static void record_response(const struct exchange *e, struct server *server,
+static void record_response(struct exchange *e, struct server *server,
 			    int64_t elapsed_ms)
 {
 	if (e->has_object)
@@ -312,10 +313,7 @@
 		return;
 	elapsed_ms = MAX(elapsed_ms - server->rtt_ms, 1);
 	if (e->has_own_server)
-		run_time_record(&exchange_route_state(e)->run_time,
-				e->object_cached, elapsed_ms,
-				load_work_percent(&server->load,
-						  proxy_now_ms(e->proxy)));
+		exchange_record_own_run(e, server, elapsed_ms);
 	service_time_record(&exchange_service_state(e)->time, elapsed_ms);
 	service_time_record(&exchange_route_state(e)->time, elapsed_ms);
 }
@@ -333,6 +331,8 @@
 	record_outcome(e, server, end);
 	if (end == ATTEMPT_ANSWERED)
 		record_response(e, server, attempt_elapsed_ms(a));
+	if (end == ATTEMPT_REFUSED)
+		exchange_record_own_refusal(e, server);
 	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
 		e->send_count++;
 	e->worst_verdict = MAX(e->worst_verdict, outcome_verdict(end));
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -66,6 +66,8 @@
 	uint32_t first_request_age_ms; /* since the caller's first attempt */
 	const char *retry_reason; /* outcome of the last attempt; NULL: none */
 	bool has_own_server; /* this VM is assigned to the selected server */
+	/* of the object at the own server when it was selected */
+	uint32_t object_position;
 	/* state of the wait queue: a server for which the request waits */
 	struct server *waits_for; /* owns a reference; NULL: does not wait */
 	bool waits_for_cached;	  /* which has the object cached */
--- a/src/request/exchange_own.c
+++ b/src/request/exchange_own.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/number.h"
+#include "decide/cache_depth.h"
 #include "decide/cold_share.h"
 #include "queue/wait_queue.h"
 #include "sync/reach_watch.h"
@@ -107,13 +108,26 @@
 	}
 }
 
+static uint32_t object_position(const struct exchange *e,
+				const struct server *server)
+{
+	return e->has_object
+		       ? recent_objects_position(&server->recent, e->object_hash)
+		       : RECENT_OBJECTS_ABSENT;
+}
+
+static bool has_cached(const struct exchange *e, const struct server *server)
+{
+	return cache_depth_contains(&exchange_service_state(e)->cache_depth,
+				    object_position(e, server));
+}
+
 bool own_view_has_cached(const struct own_view *own, const struct exchange *e)
 {
 	uint32_t i;
 
-	for (i = 0; e->has_object && i < own->count; i++)
-		if (recent_objects_contain(&own->servers[i]->recent,
-					   e->object_hash))
+	for (i = 0; i < own->count; i++)
+		if (has_cached(e, own->servers[i]))
 			return true;
 	return false;
 }
@@ -161,9 +175,7 @@
 	for (i = 0; i < view->count; i++) {
 		const struct server *server = view->servers[i];
 
-		view->states[i].cached =
-			e->has_object &&
-			recent_objects_contain(&server->recent, e->object_hash);
+		view->states[i].cached = has_cached(e, server);
 		view->states[i].excluded =
 			exchange_has_tried(e, server) ||
 			!exchange_allows_region(e, server->region);
@@ -204,7 +216,7 @@
 		 " server=%s load=%u slots=%u near=1 report_age_ms=%" PRId64
 		 " known=%d work_percent=%u wait_ms=%u run_ms=%u finish_ms=%u "
 		 "target_in_ms=%" PRId64 " left_ms=%" PRId64
-		 " waiting=%u own=1 again=%s waited_ms=%u",
+		 " waiting=%u own=1 again=%s waited_ms=%u cache_depth=%u",
 		 what, e->id, e->route->name, e->service->name, e->object_hash,
 		 server ? server->id : "-",
 		 server ? load_estimate(&server->load, now_ms) : 0,
@@ -214,7 +226,8 @@
 		 choice->wait_ms, choice->run_ms, choice->finish_ms,
 		 exchange_target_ms(e) - now_ms, e->deadline_ms - now_ms,
 		 wait_queue_length(e->proxy->wait_queue),
-		 e->retry_reason ? e->retry_reason : "-", e->waited_ms);
+		 e->retry_reason ? e->retry_reason : "-", e->waited_ms,
+		 cache_depth_objects(&exchange_service_state(e)->cache_depth));
 }
 
 void exchange_record_own(struct exchange *e, struct server *server,
@@ -222,11 +235,36 @@
 {
 	log_own(e, "is sent", server, choice, cached);
 	e->has_own_server = true;
+	e->object_position = object_position(e, server);
 	exchange_record_selected(e, server, cached, choice->finish_ms);
 	if (e->has_object)
 		recent_objects_record(&server->recent, e->object_hash);
 }
 
+void exchange_record_own_run(struct exchange *e, const struct server *server,
+			     int64_t run_ms)
+{
+	struct cache_depth *depth = &exchange_service_state(e)->cache_depth;
+	struct run_time *time = &exchange_route_state(e)->run_time;
+	const bool is_absent = e->object_position == RECENT_OBJECTS_ABSENT;
+	const uint32_t work_percent =
+		load_work_percent(&server->load, proxy_now_ms(e->proxy));
+
+	/* a refused request counts as recent, though its object was not loaded */
+	if (e->route->sticky && e->tried_count == 1)
+		cache_depth_record(depth, e->object_position, time, run_ms,
+				   work_percent);
+	/* near the estimated depth, hits and misses would be mixed up */
+	if (is_absent || cache_depth_contains_surely(depth, e->object_position))
+		run_time_record(time, !is_absent, run_ms, work_percent);
+}
+
+void exchange_record_own_refusal(struct exchange *e, struct server *server)
+{
+	if (e->has_own_server && e->has_object && !e->object_cached)
+		recent_objects_remove(&server->recent, e->object_hash);
+}
+
 bool exchange_select_own(struct exchange *e, struct server **server,
 			 const char **refusal)
 {
--- a/src/request/exchange_own.h
+++ b/src/request/exchange_own.h
@@ -55,4 +55,13 @@
 void exchange_record_own(struct exchange *exchange, struct server *server,
 			 const struct finish_choice *choice, bool cached);
 
+/** Records the time that a run took at a server of this VM, which did not queue
+ * it. */
+void exchange_record_own_run(struct exchange *exchange,
+			     const struct server *server, int64_t run_ms);
+
+/** Records that a server refused the request. */
+void exchange_record_own_refusal(struct exchange *exchange,
+				 struct server *server);
+
 #endif
--- a/test/unit/decide/finish_test.c
+++ b/test/unit/decide/finish_test.c
@@ -195,16 +195,28 @@
 	struct recent_objects objects = { 0 };
 	uint64_t i;
 
-	g_assert_false(recent_objects_contain(&objects, 0));
+	g_assert_cmpuint(recent_objects_position(&objects, 0), ==,
+			 RECENT_OBJECTS_ABSENT);
 	for (i = 0; i < RECENT_OBJECTS_MAX; i++)
 		recent_objects_record(&objects, i);
 	recent_objects_record(&objects, 0);
 	recent_objects_record(&objects, 100);
-	g_assert_true(recent_objects_contain(&objects, 0));
-	g_assert_false(recent_objects_contain(&objects, 1));
+	g_assert_cmpuint(recent_objects_position(&objects, 0), ==, 1);
+	g_assert_cmpuint(recent_objects_position(&objects, 1), ==,
+			 RECENT_OBJECTS_ABSENT);
 	for (i = 2; i < RECENT_OBJECTS_MAX; i++)
-		g_assert_true(recent_objects_contain(&objects, i));
-	g_assert_true(recent_objects_contain(&objects, 100));
+		g_assert_cmpuint(recent_objects_position(&objects, i), ==,
+				 RECENT_OBJECTS_MAX + 1 - i);
+	g_assert_cmpuint(recent_objects_position(&objects, 100), ==, 0);
+	/* of a refused request */
+	recent_objects_remove(&objects, 0);
+	recent_objects_remove(&objects, 0);
+	g_assert_cmpuint(recent_objects_position(&objects, 0), ==,
+			 RECENT_OBJECTS_ABSENT);
+	g_assert_cmpuint(recent_objects_position(&objects, 100), ==, 0);
+	g_assert_cmpuint(recent_objects_position(&objects, 2), ==,
+			 RECENT_OBJECTS_MAX - 2);
+	g_assert_cmpuint(objects.count, ==, RECENT_OBJECTS_MAX - 1);
 }
 
 /* With nine hits of ten requests no quantile shows the cost of a miss. */
--- a/test/unit/decide/wait_model.h
+++ b/test/unit/decide/wait_model.h
@@ -15,6 +15,8 @@
 
 #define SERVERS 4
 #define SLOTS 3
+/* Objects that each server caches. */
+#define CACHE_DEPTH 10
 #define CACHED_MS 60
 #define UNCACHED_MS 200
 /* Few enough for the caches of the servers. */
@@ -133,7 +135,8 @@
 
 	for (i = 0; i < SERVERS; i++)
 		sim.servers[i].cached =
-			recent_objects_contain(&sim.recent[i], call->object);
+			recent_objects_position(&sim.recent[i], call->object) <
+			CACHE_DEPTH;
 	return finish_choose(sim.servers, SERVERS, &request);
 }
 
--- /dev/null
+++ b/test/unit/request/exchange_cached_test.c
@@ -0,0 +1,143 @@
+#include <xxhash.h>
+
+#include "unit/request/own_servers.h"
+
+/* Which of this VM's servers have an object cached. */
+
+/* Of a server that refuses although it has free slots. */
+#define FREE_REFUSAL \
+	"Request-Id: r1\r\nNot-Executed: 1\r\nBackend-Load: 0,0,4\r\n"
+
+static int send_for_object(const char *object)
+{
+	int fds[2];
+	char text[256];
+
+	g_snprintf(text, sizeof(text),
+		   "GET /note HTTP/1.1\r\nHost: a.example\r\n"
+		   "Request-Id: r1\r\nDeadline-Ms: 20000\r\n"
+		   "Cookie: Affinity-Key=%s\r\n\r\n",
+		   object);
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
+			==, 0);
+	caller_accept(&proxy, fds[0]);
+	g_assert_cmpint(write(fds[1], text, strlen(text)), ==,
+			(ssize_t)strlen(text));
+	run_ms(30);
+	return fds[1];
+}
+
+/* Run times of hits and misses are known from here on. */
+static void set_run_times(void)
+{
+	struct route_state *state =
+		g_hash_table_lookup(proxy.route_states, "read");
+
+	state->run_time = (struct run_time){ 100, 300 };
+}
+
+/* @return the server that has the only request in progress. */
+static struct server *busy_server(void)
+{
+	struct server *s2 = servers_find(proxy.servers, "s2");
+	struct server *s3 = servers_find(proxy.servers, "s3");
+
+	g_assert_cmpuint(held->len, ==, 1);
+	g_assert_cmpuint(s2->load.own_requests + s3->load.own_requests, ==, 1);
+	return s2->load.own_requests ? s2 : s3;
+}
+
+static void setup_two_servers(void)
+{
+	int fd;
+
+	setup_own();
+	proxy.config->routes[0].sticky = true;
+	proxy.config->routes[0].attempts_max = 4;
+	list_server("s3");
+	fd = send_for_object("o1");
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	set_run_times();
+}
+
+/* A server that asks for a pause would refuse again, and without the object in
+ * its cache it is no better than another one. */
+static void other_refusals_are_retried_elsewhere(void)
+{
+	struct server *first;
+	int fd;
+
+	setup_two_servers();
+	fd = send_for_object("o2");
+	first = busy_server();
+	answer(FREE_REFUSAL, 503);
+	g_assert_true(busy_server() != first);
+	/* the refused request has not loaded it */
+	g_assert_cmpuint(recent_objects_position(&first->recent,
+						 XXH3_64bits("o2", 2)),
+			 ==, RECENT_OBJECTS_ABSENT);
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+
+	set_run_times();
+	fd = send_for_object("o1");
+	first = busy_server();
+	answer(FREE_REFUSAL "Retry-After: 1\r\n", 503);
+	g_assert_true(busy_server() != first);
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	teardown_own();
+}
+
+/* The position of an object counts as it was when the request was sent. */
+static void runs_tell_how_many_objects_are_cached(void)
+{
+	const struct cache_depth *depth;
+	const struct run_time *time;
+	int fd;
+
+	setup_two_servers();
+	listed.draining = true;
+	list_server("s3");
+	listed.draining = false;
+	fd = send_for_object("o2");
+	answer(OWN_ANSWER, 200);
+	close(fd);
+	fd = send_for_object("o1");
+	answer(OWN_ANSWER, 200);
+	close(fd);
+	set_run_times();
+	fd = send_for_object("o2");
+	answer(OWN_ANSWER, 200);
+	close(fd);
+	depth = &((struct service_state *)g_hash_table_lookup(proxy.service_states,
+							      "reg"))
+			 ->cache_depth;
+	g_assert_cmpfloat(depth->evidence[1], >, 0);
+	g_assert_cmpfloat(depth->evidence[0], ==, 0);
+	fd = send_for_object("o1");
+	answer(OWN_ANSWER, 200);
+	close(fd);
+	/* near the depth, run times are neither those of hits nor of misses */
+	time = &((struct route_state *)g_hash_table_lookup(proxy.route_states,
+							   "read"))
+			->run_time;
+	set_run_times();
+	((struct cache_depth *)depth)->shift = 1 - CACHE_DEPTH_INITIAL;
+	fd = send_for_object("o2");
+	answer(OWN_ANSWER, 200);
+	close(fd);
+	g_assert_cmpfloat(time->cached_ms, ==, 100);
+	g_assert_cmpfloat(time->uncached_ms, ==, 300);
+	teardown_own();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions(); /* each test is counted by itself */
+	ADD_TEST("exchange_cached", other_refusals_are_retried_elsewhere);
+	ADD_TEST("exchange_cached", runs_tell_how_many_objects_are_cached);
+	return g_test_run();
+}
