feat(request): a refused hit is sent to its server once more

**Problem**: some servers refuse requests at random with free slots. The retry went to another server, which did not have the object cached and took three times as long. **Solution**: the own server that refused a request last may get it once more if it had the object cached and its refusal named no pause. The try counts as an attempt and as a retry. **Result**: exchange_cached_test: the second try goes to the same server, the third to another one; MaxAttempts and the retry budget hold; misses and refusals with a pause are retried elsewhere.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -331,6 +331,7 @@
 	record_outcome(e, server, end);
 	if (end == ATTEMPT_ANSWERED)
 		record_response(e, server, attempt_elapsed_ms(a));
+	e->repeat_server = NULL;
 	if (end == ATTEMPT_REFUSED)
 		exchange_record_own_refusal(e, server);
 	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -68,6 +68,8 @@
 	bool has_own_server; /* this VM is assigned to the selected server */
 	/* of the object at the own server when it was selected */
 	uint32_t object_position;
+	/* own server that refused the request last and may get it once more */
+	const struct server *repeat_server;
 	/* state of the wait queue: a server for which the request waits */
 	struct server *waits_for; /* owns a reference; NULL: does not wait */
 	bool waits_for_cached;	  /* which has the object cached */
--- a/src/request/exchange_own.c
+++ b/src/request/exchange_own.c
@@ -177,7 +177,8 @@
 
 		view->states[i].cached = has_cached(e, server);
 		view->states[i].excluded =
-			exchange_has_tried(e, server) ||
+			(exchange_has_tried(e, server) &&
+			 server != e->repeat_server) ||
 			!exchange_allows_region(e, server->region);
 	}
 	return finish_choose(view->states, view->count, &request);
@@ -259,10 +260,28 @@
 		run_time_record(time, !is_absent, run_ms, work_percent);
 }
 
+/* @return how many times the request was sent to a server. */
+static uint32_t count_tries(const struct exchange *e, const struct server *server)
+{
+	uint32_t tries = 0;
+	uint32_t i;
+
+	for (i = 0; i < e->tried_count; i++)
+		tries += e->tried_servers[i] == server;
+	return tries;
+}
+
+/* Servers refuse some requests at random while their slots are free. Another
+ * server takes three times as long if it does not have the object cached. */
 void exchange_record_own_refusal(struct exchange *e, struct server *server)
 {
-	if (e->has_own_server && e->has_object && !e->object_cached)
+	if (!e->has_own_server || !e->has_object)
+		return;
+	if (!e->object_cached)
 		recent_objects_remove(&server->recent, e->object_hash);
+	else if (!attempt_meta(e->attempt)->retry_after_ms &&
+		 count_tries(e, server) == 1)
+		e->repeat_server = server;
 }
 
 bool exchange_select_own(struct exchange *e, struct server **server,
--- a/src/request/exchange_own.h
+++ b/src/request/exchange_own.h
@@ -60,7 +60,8 @@
 void exchange_record_own_run(struct exchange *exchange,
 			     const struct server *server, int64_t run_ms);
 
-/** Records that a server refused the request. */
+/** Records that a server refused the request, and decides whether it may get it
+ * once more. */
 void exchange_record_own_refusal(struct exchange *exchange,
 				 struct server *server);
 
--- a/test/unit/request/exchange_cached_test.c
+++ b/test/unit/request/exchange_cached_test.c
@@ -2,7 +2,7 @@
 
 #include "unit/request/own_servers.h"
 
-/* Which of this VM's servers have an object cached. */
+/* Which of this VM's servers have an object cached, and retries at them. */
 
 /* Of a server that refuses although it has free slots. */
 #define FREE_REFUSAL \
@@ -61,6 +61,48 @@
 	set_run_times();
 }
 
+/* Servers refuse some requests at random. A retry at a server that does not
+ * have the object cached takes three times as long. */
+static void refused_hit_is_sent_to_its_server_once_more(void)
+{
+	struct server *first;
+	int fd;
+
+	setup_two_servers();
+	fd = send_for_object("o1");
+	first = busy_server();
+	answer(FREE_REFUSAL, 503);
+	g_assert_true(busy_server() == first);
+	answer(FREE_REFUSAL, 503);
+	g_assert_true(busy_server() != first);
+	answer(OWN_ANSWER, 200);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	g_assert_cmpuint(arrivals, ==, 4);
+	teardown_own();
+}
+
+/* The attempts of a route, and the retries of the fleet, stay bounded. */
+static void second_try_at_a_server_counts_as_a_retry(void)
+{
+	uint64_t retries = counter_get(COUNTER_RETRIES);
+	int fd;
+
+	setup_two_servers();
+	proxy.config->routes[0].attempts_max = 2;
+	fd = send_for_object("o1");
+	answer(FREE_REFUSAL, 503);
+	g_assert_cmpuint(counter_get(COUNTER_RETRIES) - retries, ==, 1);
+	answer(FREE_REFUSAL, 503);
+	g_assert_cmpint(take_status(fd), ==, 503);
+	g_assert_cmpuint(arrivals, ==, 3);
+	proxy.bounds.retry_extra = 0;
+	fd = send_for_object("o1");
+	answer(FREE_REFUSAL, 503);
+	g_assert_cmpint(take_status(fd), ==, 503);
+	g_assert_cmpuint(arrivals, ==, 4);
+	teardown_own();
+}
+
 /* A server that asks for a pause would refuse again, and without the object in
  * its cache it is no better than another one. */
 static void other_refusals_are_retried_elsewhere(void)
@@ -90,11 +132,13 @@
 	teardown_own();
 }
 
-/* The position of an object counts as it was when the request was sent. */
+/* The position of an object counts as it was when the request was sent; a retry
+ * finds its own refused attempt there. */
 static void runs_tell_how_many_objects_are_cached(void)
 {
 	const struct cache_depth *depth;
 	const struct run_time *time;
+	double last;
 	int fd;
 
 	setup_two_servers();
@@ -116,9 +160,13 @@
 			 ->cache_depth;
 	g_assert_cmpfloat(depth->evidence[1], >, 0);
 	g_assert_cmpfloat(depth->evidence[0], ==, 0);
+	last = depth->evidence[1];
 	fd = send_for_object("o1");
+	answer(FREE_REFUSAL, 503);
 	answer(OWN_ANSWER, 200);
-	close(fd);
+	g_assert_cmpint(take_status(fd), ==, 200);
+	g_assert_cmpfloat(depth->evidence[0], ==, 0);
+	g_assert_cmpfloat(depth->evidence[1], ==, last);
 	/* near the depth, run times are neither those of hits nor of misses */
 	time = &((struct route_state *)g_hash_table_lookup(proxy.route_states,
 							   "read"))
@@ -137,6 +185,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions(); /* each test is counted by itself */
+	ADD_TEST("exchange_cached", refused_hit_is_sent_to_its_server_once_more);
+	ADD_TEST("exchange_cached", second_try_at_a_server_counts_as_a_retry);
 	ADD_TEST("exchange_cached", other_refusals_are_retried_elsewhere);
 	ADD_TEST("exchange_cached", runs_tell_how_many_objects_are_cached);
 	return g_test_run();
