--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -372,7 +372,9 @@
 {
 	const uint32_t slots = view->local_slots - view->local_unused_slots;
 
-	return peak < UTILIZATION_LOW * slots && share->refused < REFUSED_NONE
+	/* the peak is known after one whole period */
+	return share->last_peak_demand > 0 && peak < UTILIZATION_LOW * slots &&
+			       share->refused < REFUSED_NONE
 		       ? 1
 		       : FALL_FRACTION;
 }
