test(soak): every second seed has assigned VMs

**Problem**: the soak had no route with large bodies, so that no request was handed off between VMs. **Solution**: VMs take handed-off requests; odd seeds have a download route, which turns the assignment on.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -76,13 +76,14 @@
 		"{\"name\": \"jyl-a\", \"region\": \"jyl\"}],\n"
 		" \"request_address\": \"%s\", \"ready_address\": \"%s\",\n"
 		" \"directory_address\": \"%s\", \"metrics_address\": "
-		"\"%s\",\n \"relay_address\": \"%s\", \"store_address\": "
-		"\"%s\",\n \"bounds\": \"DrainMs=2500,GraceS=6,"
+		"\"%s\",\n \"relay_address\": \"%s\", \"handoff_address\": "
+		"\"%s\",\n \"cpu_share\": \"0.5\", \"store_address\": \"%s\",\n \"bounds\": \"DrainMs=2500,GraceS=6,"
 		"BudgetRatio=0.2,BudgetExtra=100,BudgetWindowS=10,"
 		"MaxShift=0.15\"}\n",
 		vm->name, fleet_regions[vm->domain], fleet_domains[vm->domain],
 		vm->request_address, vm->ready_address, vm->directory_address,
-		vm->metrics_address, vm->relay_address, vm->store_address);
+		vm->metrics_address, vm->relay_address, vm->handoff_address,
+		vm->store_address);
 
 	if (!g_file_set_contents(file_name, text, -1, NULL))
 		fprintf(stderr, "soak: cannot write settings file %s\n",
@@ -310,7 +311,8 @@
 		fleet->version, g_get_real_time() / 1000);
 	add_route(routes, "look", "/look/", "idempotent", FLEET_TIMEOUT_MS);
 	add_route(routes, "order", "/order/", "non_idempotent", FLEET_TIMEOUT_MS);
-	add_route(routes, "long-look", "/long-look/", "idempotent",
+	add_route(routes, "long-look", "/long-look/",
+		  fleet->large_bodies ? "download" : "idempotent",
 		  FLEET_LONG_TIMEOUT_MS);
 	add_route(routes, "long-order", "/long-order/", "non_idempotent",
 		  FLEET_LONG_TIMEOUT_MS);
@@ -384,6 +386,7 @@
 		assign_address(vm->directory_address);
 		assign_address(vm->metrics_address);
 		assign_address(vm->relay_address);
+		assign_address(vm->handoff_address);
 		assign_address(vm->store_address);
 		vm->store_proxy =
 			fault_proxy_new(fleet->base, vm->store_address,
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -32,6 +32,7 @@
 	char directory_address[ADDRESS_BYTES];
 	char metrics_address[ADDRESS_BYTES];
 	char relay_address[ADDRESS_BYTES];
+	char handoff_address[ADDRESS_BYTES];
 	char store_address[ADDRESS_BYTES]; /**< of store_proxy */
 	struct fault_proxy *store_proxy;
 	struct event *start_timer; /**< restarts the VM */
@@ -64,6 +65,7 @@
 	struct fleet_server servers[FLEET_SERVERS_MAX];
 	uint32_t server_count;
 	struct soak_servers server_shape;
+	bool large_bodies;	   /**< of a route, see struct soak_plan */
 	uint32_t version;	   /**< of the latest configuration */
 	uint32_t unexpected_exits; /**< VM exits that the soak did not cause */
 };
--- a/soak/main.c
+++ b/soak/main.c
@@ -257,6 +257,7 @@
 			length->count ? length->ival[0] : 15000);
 	soak.caller_count = (uint32_t)(callers->count ? callers->ival[0] : 36);
 	soak.fleet.server_shape = soak.plan.servers;
+	soak.fleet.large_bodies = soak.plan.large_bodies;
 	soak.fleet.build_dir = build->count ? build->sval[0] : "build";
 	if (old->count)
 		soak.fleet.old_dir = old->sval[0];
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -255,6 +255,8 @@
 	if (!g_rand_int_range(rand, 0, BUSY_SHARE))
 		make_busy(&plan, rand);
 	g_rand_free(rand);
+	/* not drawn, so that the events of a seed stay the same */
+	plan.large_bodies = seed % 2;
 	g_array_sort(plan.events, compare_at_ms);
 	return plan;
 }
@@ -340,6 +342,10 @@
 			continue;
 		if (parse_servers(line, plan))
 			continue;
+		if (!strcmp(line, "large-bodies")) {
+			plan->large_bodies = true;
+			continue;
+		}
 		valid = parse_event(line, &event);
 		if (!valid)
 			fprintf(stderr, "soak: %s:%d: not a valid event\n",
@@ -358,6 +364,8 @@
 {
 	guint i;
 
+	if (plan->large_bodies)
+		fprintf(out, "large-bodies\n");
 	if (plan->busy)
 		fprintf(out, "servers %" PRIu32 " %" PRIu32 " %" PRIu32 "\n",
 			plan->servers.slots, plan->servers.queue,
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -73,6 +73,9 @@
 	int64_t length_ms;
 	struct soak_servers servers;
 	bool busy; /**< the servers cannot run all requests */
+	/** A route has large bodies: VMs are assigned to servers and hand off
+	 * requests to each other. */
+	bool large_bodies;
 };
 
 /** Generates a random plan; the same seed gives the same plan. */
