--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -66,8 +66,15 @@
 	return pid;
 }
 
+/* Settings are read by the build that comes with them: earlier ones reject keys
+ * that they do not know. */
 static void write_settings(const struct fleet_vm *vm, const char *file_name)
 {
+	char *handoff =
+		vm->runs_old ? g_strdup("")
+			     : g_strdup_printf(" \"handoff_address\": \"%s\", "
+					       "\"cpu_share\": \"0.5\",\n",
+					       vm->handoff_address);
 	char *text = g_strdup_printf(
 		"{\"name\": \"%s\", \"region\": \"%s\", \"failure_domain\": "
 		"\"%s\",\n"
@@ -76,18 +83,19 @@
 		"{\"name\": \"jyl-a\", \"region\": \"jyl\"}],\n"
 		" \"request_address\": \"%s\", \"ready_address\": \"%s\",\n"
 		" \"directory_address\": \"%s\", \"metrics_address\": "
-		"\"%s\",\n \"relay_address\": \"%s\", \"handoff_address\": "
-		"\"%s\",\n \"cpu_share\": \"0.5\", \"store_address\": \"%s\",\n \"bounds\": \"DrainMs=2500,GraceS=6,"
+		"\"%s\",\n \"relay_address\": \"%s\", \"store_address\": "
+		"\"%s\",\n%s \"bounds\": \"DrainMs=2500,GraceS=6,"
 		"BudgetRatio=0.2,BudgetExtra=100,BudgetWindowS=10,"
 		"MaxShift=0.15\"}\n",
 		vm->name, fleet_regions[vm->domain], fleet_domains[vm->domain],
 		vm->request_address, vm->ready_address, vm->directory_address,
-		vm->metrics_address, vm->relay_address, vm->handoff_address,
-		vm->store_address);
+		vm->metrics_address, vm->relay_address, vm->store_address,
+		handoff);
 
 	if (!g_file_set_contents(file_name, text, -1, NULL))
 		fprintf(stderr, "soak: cannot write settings file %s\n",
 			file_name);
+	g_free(handoff);
 	g_free(text);
 }
 
