fix(request): a server's timeout at the deadline is not retried

The stand-in's server read its clock when a timer fired; libevent's timers may fire some milliseconds early, so it reported success or its timeout before the deadline. The VM then retried for the rest of a few milliseconds, found no further server, and answered 502.

**Solution**: the stand-in decides when a run begins whether it outlasts the deadline.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -257,8 +257,18 @@
 	exchange_start_streaming(e);
 }
 
+/* @return whether the failure means that the server ran out of time. */
+static bool is_server_timeout(const struct exchange *e, enum attempt_end end)
+{
+	return end == ATTEMPT_FAILED &&
+	       e->deadline_ms - proxy_now_ms(e->proxy) < DEADLINE_MARGIN_MS;
+}
+
 static bool can_retry(const struct exchange *e, enum attempt_end end)
 {
+	/* what is left of the time is too short for another server */
+	if (is_server_timeout(e, end))
+		return false;
 	if (outcome_verdict(end) != VERDICT_NOT_RUN && !e->route->idempotent)
 		return false;
 	if (e->send_count >= e->route->attempts_max ||
@@ -287,9 +297,7 @@
 			 server->id);
 	} else if (end == ATTEMPT_SILENT || end == ATTEMPT_NOT_CONNECTED) {
 		server_record_unreachable(server, proxy_now_ms(e->proxy));
-	} else if (end == ATTEMPT_FAILED &&
-		   e->deadline_ms - proxy_now_ms(e->proxy) < DEADLINE_MARGIN_MS) {
-		/* the server ran out of time */
+	} else if (is_server_timeout(e, end)) {
 		exchange_record_timeout(e, server,
 					attempt_elapsed_ms(e->attempt));
 	} else if (outcome_is_server_fault(end)) {
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -103,6 +103,7 @@
 	bool is_waiting;
 	bool is_queued; /* waits for another one to end */
 	bool is_late;	/* its deadline passes during the wait */
+	bool outlasts;	/* its deadline passes during the run */
 	char *id;
 	char *method;
 	char *target;
@@ -240,10 +241,7 @@
 		responder_reply_truncated(work->request, 200, headers->str,
 					  body, evbuffer_get_length(body) / 2);
 	else
-		responder_reply(work->request,
-				clock_now_ms(&clock_system) < work->deadline_ms
-					? 200
-					: 504,
+		responder_reply(work->request, work->outlasts ? 504 : 200,
 				headers->str, body);
 	g_string_free(headers, TRUE);
 	evbuffer_free(body);
@@ -294,9 +292,14 @@
 {
 	struct platform_server *server = work->server;
 
+	const int64_t left = left_ms(work);
+
 	record_run(server, work->id);
 	server->running++;
-	timer_start(work->timer, MIN(server->work_ms, left_ms(work)));
+	/* the clock is not asked at the end: libevent's timers may fire some
+	 * milliseconds early, which would make a timeout a success */
+	work->outlasts = server->work_ms >= left;
+	timer_start(work->timer, MIN(server->work_ms, left));
 }
 
 static void on_work_timer(evutil_socket_t fd, short what, void *context)
