fix(build): the deployed build compiles on arm64

**Problem**: GCC 12 for arm64 ends with an internal error at -O3, in a loop that takes the largest of some numbers with fmax().

**Solution**: the loop compares instead.

--- a/src/decide/region_share.c
+++ b/src/decide/region_share.c
@@ -82,8 +82,10 @@
 	double rtt_ms = 0;
 	uint32_t i;
 
+	/* no fmax(): GCC 12 for arm64 fails on that loop at -O3 */
 	for (i = 0; i < view->region_count; i++)
-		rtt_ms = fmax(rtt_ms, view->regions[i].rtt_ms);
+		if (view->regions[i].rtt_ms > rtt_ms)
+			rtt_ms = view->regions[i].rtt_ms;
 	return rtt_ms > 0 ? rtt_ms : RTT_ASSUMED_MS;
 }
 
