fix(request): the rest of a body is dropped when its caller leaves

**Problem**: a request whose caller left before it ended was closed in an orderly way, so the kernel still sent what it held of a large body. On a slow link the server, or the assigned VM, got the whole request long after its caller had left, and ran it.

**Solution**: a connection that still carries a large body is reset.

**Result**: in a test with a server that reads late, all of a body of 1 MB arrived after the caller had left; now the rest of it is dropped.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -389,8 +389,12 @@
 		load_record_finished(&a->server->load);
 		wait_queue_on_slot_free(a->proxy->wait_queue, a->server);
 	}
-	if (a->connection)
-		close_connection(a);
+	/* a slow link would carry the rest of a large body to its end, and the
+	 * request would run though its caller has left */
+	if (a->has_large_body && !a->response_started)
+		pool_abort(a->connection);
+	else
+		pool_discard(a->connection);
 	event_free(a->connect_timer);
 	evbuffer_free(a->headers);
 	evbuffer_free(a->body);
--- a/src/request/pool.c
+++ b/src/request/pool.c
@@ -37,12 +37,15 @@
 	c->is_idle = false;
 }
 
-void pool_discard(struct server_connection *c)
+static void discard(struct server_connection *c, bool abort)
 {
 	if (!c)
 		return;
 	unlink_idle(c);
-	http_stream_free(c->stream);
+	if (abort)
+		http_stream_abort(c->stream);
+	else
+		http_stream_free(c->stream);
 	if (c->idle_timer)
 		event_free(c->idle_timer);
 	c->server->connection_count--;
@@ -50,6 +53,16 @@
 	free(c);
 }
 
+void pool_discard(struct server_connection *c)
+{
+	discard(c, false);
+}
+
+void pool_abort(struct server_connection *c)
+{
+	discard(c, true);
+}
+
 static void on_connected(void *context)
 {
 	struct server_connection *c = context;
--- a/src/request/pool.h
+++ b/src/request/pool.h
@@ -51,4 +51,7 @@
 /** Closes a connection, even if a request is in progress on it. */
 void pool_discard(struct server_connection *connection);
 
+/** Resets a connection, so that the kernel drops what it has not sent yet. */
+void pool_abort(struct server_connection *connection);
+
 #endif
--- a/test/unit/request/attempt_test.c
+++ b/test/unit/request/attempt_test.c
@@ -12,6 +12,7 @@
 	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n" \
 	"Content-Length: 0\r\n\r\n"
 #define LARGE_BODY_BYTES (16 * 1024 * 1024)
+#define BODY_IN_KERNEL_BYTES (1024 * 1024)
 #define SUCCESS                                                        \
 	"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: a.b\r\n" \
 	"Content-Length: 2\r\n\r\nok"
@@ -25,6 +26,7 @@
 	struct bufferevent *connections[8];
 	uint32_t connection_count;
 	uint32_t requests;
+	size_t bytes;	 /* received */
 	bool closes;	 /* after a response */
 	bool holds;	 /* responds to nothing */
 	bool reads_late; /* nothing from new connections, until told */
@@ -39,6 +41,7 @@
 						: faulty.first;
 
 	(void)context;
+	faulty.bytes += evbuffer_get_length(input);
 	evbuffer_drain(input, evbuffer_get_length(input));
 	faulty.requests++;
 	if (faulty.holds)
@@ -272,10 +275,9 @@
 	}
 }
 
-/* Sends an order with a body that the kernel's buffers cannot hold. */
-static int send_large_order(void)
+static int send_large_order(size_t body_bytes)
 {
-	char *body = g_malloc0(LARGE_BODY_BYTES);
+	char *body = g_malloc0(body_bytes);
 	char head[256];
 	size_t sent = 0;
 	ssize_t bytes;
@@ -286,12 +288,12 @@
 	caller_accept(&proxy, fds[0]);
 	g_snprintf(head, sizeof(head),
 		   "POST /note HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
-		   "Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n",
-		   LARGE_BODY_BYTES);
+		   "Deadline-Ms: 20000\r\nContent-Length: %zu\r\n\r\n",
+		   body_bytes);
 	g_assert_cmpint(write(fds[1], head, strlen(head)), ==,
 			(ssize_t)strlen(head));
-	while (sent < LARGE_BODY_BYTES) {
-		bytes = write(fds[1], body + sent, LARGE_BODY_BYTES - sent);
+	while (sent < body_bytes) {
+		bytes = write(fds[1], body + sent, body_bytes - sent);
 		sent += bytes > 0 ? (size_t)bytes : 0;
 		run_ms(5);
 	}
@@ -320,7 +322,7 @@
 	small = send_request();
 	run_ms(100);
 	faulty.reads_late = true;
-	large = send_large_order();
+	large = send_large_order(LARGE_BODY_BYTES);
 	run_ms(2000);
 	g_assert_cmpuint(faulty.connection_count, ==, 2);
 	g_assert_false(has_response(small));
@@ -336,6 +338,22 @@
 	teardown_faulty();
 }
 
+/* What the kernel held of a large body reached the server after the caller had
+ * left, over a second late on a slow link, and the request ran. */
+static void body_of_a_caller_that_left_is_dropped(void)
+{
+	setup_faulty(SUCCESS, SUCCESS, false);
+	proxy.config->limits.body_bytes_max = LARGE_BODY_BYTES;
+	faulty.holds = true;
+	faulty.reads_late = true;
+	close(send_large_order(BODY_IN_KERNEL_BYTES));
+	run_ms(100);
+	bufferevent_enable(faulty.connections[0], EV_READ);
+	run_ms(300);
+	g_assert_cmpuint(faulty.bytes, <, BODY_IN_KERNEL_BYTES);
+	teardown_faulty();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -348,5 +366,6 @@
 	ADD_TEST("attempt", valid_statuses_are_forwarded);
 	ADD_TEST("attempt", read_with_an_invalid_status_is_retried_elsewhere);
 	ADD_TEST("attempt", body_that_is_read_late_ends_no_request);
+	ADD_TEST("attempt", body_of_a_caller_that_left_is_dropped);
 	return g_test_run();
 }
