--- a/src/kv/kv_defs.h
+++ b/src/kv/kv_defs.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 /**
  * @file
@@ -38,4 +39,12 @@
 	KV_STATUS_UNAVAILABLE = 503,
 };
 
+/** @return the part of the key after the prefix; NULL if it has another one. */
+static inline const char *kv_strip_prefix(const char *key, const char *prefix)
+{
+	const size_t bytes = strlen(prefix);
+
+	return strncmp(key, prefix, bytes) ? NULL : key + bytes;
+}
+
 #endif
--- a/src/sync/store_sync.c
+++ b/src/sync/store_sync.c
@@ -13,12 +13,9 @@
 #include "platform/config_codec.h"
 #include "platform/server_codec.h"
 #include "sync/crash.h"
+#include "sync/operator_keys.h"
 #include "sync/server_limits.h"
 
-/* Servers of a failure domain count as cold for this long after its evacuation
- * ends if no service configures a cold start. */
-#define COLD_AFTER_EVACUATION_MS 3000
-
 /* Delays that batch changes, so that the whole fleet makes fewer calls to the
  * store. They are a tenth of the time within which a configuration must be in
  * force, a fifth of the time within which a server that leaves must stop
@@ -82,87 +79,14 @@
 	bool servers_synced;
 };
 
-static void apply_config(struct proxy *proxy, const struct kv_item *item)
-{
-	struct config *config;
-	const char *problem;
-
-	config = config_decode(item->value, item->value_bytes, &problem);
-	if (!config) {
-		counter_add(COUNTER_DOCUMENTS_REFUSED, 1);
-		log_warn("config",
-			 "configuration is refused revision=%" PRIu64
-			 " why=\"%s\"",
-			 item->revision, problem);
-		return;
-	}
-	if (proxy->config && config->version <= proxy->config->version) {
-		log_info("config",
-			 "older configuration is ignored "
-			 "version=%08" PRIx64 " in_force=%08" PRIx64,
-			 config->version, proxy->config->version);
-		config_unref(config);
-		return;
-	}
-	config_unref(proxy->config);
-	proxy->config = config;
-	proxy->config_since_ms = proxy_now_ms(proxy);
-	counter_add(COUNTER_DOCUMENTS_APPLIED, 1);
-	gauge_set(GAUGE_DOCUMENT_VERSION, (int64_t)config->version);
-	log_info("config",
-		 "configuration is in force version=%08" PRIx64
-		 " routes=%u services=%u revision=%" PRIu64,
-		 config->version, config->route_count, config->service_count,
-		 item->revision);
-}
-
-/* @return the part of the key after the prefix, or NULL if it has another
- * prefix. */
-static const char *strip_prefix(const char *key, const char *prefix)
-{
-	const size_t bytes = strlen(prefix);
-
-	return strncmp(key, prefix, bytes) ? NULL : key + bytes;
-}
-
-static uint32_t cold_after_evacuation_ms(const struct proxy *proxy)
-{
-	uint32_t ms = 0;
-	uint32_t i;
-
-	for (i = 0; proxy->config && i < proxy->config->service_count; i++)
-		ms = MAX(ms, proxy->config->services[i].cold_start_ms);
-	return ms ? ms : COLD_AFTER_EVACUATION_MS;
-}
-
 static void on_operator_put(void *context, const struct kv_item *item)
 {
-	struct proxy *proxy = ((struct store_sync *)context)->proxy;
-	const char *domain = strip_prefix(item->key, PLATFORM_PREFIX_EVACUATE);
-
-	if (domain) {
-		g_hash_table_add(proxy->evacuated, g_strdup(domain));
-		servers_mark_changed(proxy->servers);
-		log_info("evacuation",
-			 "evacuation of failure domain begins domain=%s "
-			 "revision=%" PRIu64,
-			 domain, item->revision);
-	} else if (!strcmp(item->key, PLATFORM_KEY_CONFIG)) {
-		apply_config(proxy, item);
-	}
+	operator_keys_put(((struct store_sync *)context)->proxy, item);
 }
 
 static void on_operator_removed(void *context, const char *key)
 {
-	struct proxy *proxy = ((struct store_sync *)context)->proxy;
-	const char *domain = strip_prefix(key, PLATFORM_PREFIX_EVACUATE);
-
-	if (!domain || !g_hash_table_remove(proxy->evacuated, domain))
-		return;
-	servers_mark_cold(proxy->servers, domain,
-			  cold_after_evacuation_ms(proxy));
-	log_info("evacuation", "evacuation of failure domain ends domain=%s",
-		 domain);
+	operator_keys_remove(((struct store_sync *)context)->proxy, key);
 }
 
 static void on_operator_synced(void *context)
@@ -225,9 +149,9 @@
 static void on_fleet_put(void *context, const struct kv_item *item)
 {
 	struct proxy *proxy = ((struct store_sync *)context)->proxy;
-	const char *vm = strip_prefix(item->key, VMS_KEY_PREFIX);
-	const char *crash = strip_prefix(item->key, CRASH_KEY_PREFIX);
-	const char *limited = strip_prefix(item->key, LIMIT_KEY_PREFIX);
+	const char *vm = kv_strip_prefix(item->key, VMS_KEY_PREFIX);
+	const char *crash = kv_strip_prefix(item->key, CRASH_KEY_PREFIX);
+	const char *limited = kv_strip_prefix(item->key, LIMIT_KEY_PREFIX);
 
 	if (vm)
 		vms_put(proxy->vms, vm, item->value, item->value_bytes);
@@ -242,8 +166,8 @@
 static void on_fleet_removed(void *context, const char *key)
 {
 	struct proxy *proxy = ((struct store_sync *)context)->proxy;
-	const char *vm = strip_prefix(key, VMS_KEY_PREFIX);
-	const char *limited = strip_prefix(key, LIMIT_KEY_PREFIX);
+	const char *vm = kv_strip_prefix(key, VMS_KEY_PREFIX);
+	const char *limited = kv_strip_prefix(key, LIMIT_KEY_PREFIX);
 
 	if (vm)
 		vms_remove(proxy->vms, vm);
