fix(handoff): every repeated send is paid from the retry budget

**Problem**: sends could exceed the budget in several ways. A kept connection to the assigned VM that closed had the request sent again, in no count. After the assigned VM's servers had refused a request, the first VM placed it directly or in another region for free. Requests earned retries although no server got them, and the assigned VM also counted the quarter that the first VM counts. A request whose connection was still opening was sent to a server that had asked for a pause meanwhile; a stamped 503 with Retry-After and without Not-Executed started none.

**Solution**: a request counts once, when it is first sent to a server. A renewed send, and what goes on after such a refusal, needs an attempt and budget. A pause holds back requests that are still connecting, which is no failure of the server.

--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -113,26 +113,38 @@
 	return vm;
 }
 
-/* The request was proved not to run at the other VM. */
-static void place_not_run(struct exchange *e, const char *reason)
+/* The request was proved not to run at the other VM.
+ *
+ * @param end ATTEMPT_REFUSED if that VM has sent it to servers. */
+static void place_not_run(struct exchange *e, const char *reason,
+			  enum attempt_end end)
 {
 	log_info("handoff", "request is placed directly request=%s vm=%s why=%s",
 		 e->id, attempt_server(e->attempt)->id, reason);
-	exchange_place_directly(e, ATTEMPT_NOT_CONNECTED);
+	exchange_place_directly(e, end);
 }
 
 /* The other VM refused the request, and says that it has not run. */
 static void end_refused(struct exchange *e)
 {
+	/* servers that the other VM tried have refused the request */
+	const uint32_t send_count = attempt_meta(e->attempt)->send_count;
+	const enum attempt_end end = send_count > e->send_count
+					     ? ATTEMPT_REFUSED
+					     : ATTEMPT_NOT_CONNECTED;
+
+	e->send_count = MAX(e->send_count, send_count);
 	if (attempt_is_declined(e->attempt)) {
 		counter_add(COUNTER_HANDOFFS_DECLINED, 1);
-		place_not_run(e, "declined");
+		place_not_run(e, "declined", end);
 		return;
 	}
 	/* before the region is chosen: the request must not run twice */
 	if (!outcome_status_means_not_run(attempt_status(e->attempt)))
 		e->worst_verdict = VERDICT_MAY_HAVE_RUN;
-	if (exchange_choose_elsewhere(e)) {
+	if (exchange_choose_elsewhere(e) && exchange_acquire_retry(e, end)) {
+		if (end == ATTEMPT_REFUSED)
+			e->retry_reason = outcome_text(end);
 		attempt_free(e->attempt);
 		e->attempt = NULL;
 		exchange_place_again(e);
@@ -178,21 +190,30 @@
 
 static bool send_to(struct exchange *e, struct server *server);
 
-/* Sends the request again, on a new connection. @return whether it was sent. */
-static bool renew(struct exchange *e)
+/* Sends the request again, on a new connection, or ends it if it may not be
+ * sent again. */
+static void renew(struct exchange *e, enum attempt_end end)
 {
-	struct server *server = server_ref(attempt_server(e->attempt));
-	bool sent;
+	struct server *server;
 
 	e->handoff_renewed = true;
-	if (attempt_was_sent(e->attempt))
+	if (attempt_was_sent(e->attempt)) {
+		e->send_count++;
 		e->worst_verdict = VERDICT_MAY_HAVE_RUN;
+	}
+	if (!exchange_acquire_retry(e, end)) {
+		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
+			      "handoff-failed");
+		return;
+	}
+	server = server_ref(attempt_server(e->attempt));
 	pool_discard_idle(server);
 	attempt_free(e->attempt);
 	e->attempt = NULL;
-	sent = send_to(e, server);
+	/* the retry is counted already */
+	if (!send_to(e, server))
+		exchange_place_directly(e, ATTEMPT_NOT_CONNECTED);
 	server_unref(server);
-	return sent;
 }
 
 static void end_failed(struct exchange *e, enum attempt_end end)
@@ -200,8 +221,7 @@
 	struct attempt *a = e->attempt;
 
 	if (is_stale_connection(e, end)) {
-		if (!renew(e))
-			exchange_place_directly(e, end);
+		renew(e, end);
 		return;
 	}
 	counter_add(COUNTER_HANDOFFS_FAILED, 1);
@@ -210,7 +230,7 @@
 		peers_record_failure(get_peers(e), attempt_server(a),
 				     outcome_text(end));
 	if (end == ATTEMPT_NOT_CONNECTED || end == ATTEMPT_OTHER_SERVER) {
-		place_not_run(e, outcome_text(end));
+		place_not_run(e, outcome_text(end), ATTEMPT_NOT_CONNECTED);
 		return;
 	}
 	e->send_count++;
@@ -230,6 +250,9 @@
 			   attempt_meta(a)->service_fast_ms,
 			   attempt_meta(a)->service_slow_ms);
 	exchange_record_region_end(e, e->region, end == ATTEMPT_REFUSED);
+	if (handoff_counts_for_sender(e) &&
+	    (attempt_meta(a)->stamped || end == ATTEMPT_FAILED))
+		exchange_count_for_retry_share(e);
 	if (attempt_response_started(a) && end != ATTEMPT_OTHER_SERVER)
 		peers_record_success(get_peers(e), attempt_server(a));
 	if (e->streaming) {
@@ -263,6 +286,7 @@
 static bool send_to(struct exchange *e, struct server *server)
 {
 	e->handoff_request.deadline_ms = e->deadline_ms;
+	e->handoff_request.send_count = e->send_count;
 	e->attempt = attempt_start(e->proxy, server, &e->handoff_request,
 				   &attempt_events, e);
 	return e->attempt != NULL;
@@ -276,7 +300,7 @@
 	return !e->spilled_over && exchange_allows_region(e, e->proxy->region);
 }
 
-static bool counts_for_sender(const struct exchange *e)
+bool handoff_counts_for_sender(const struct exchange *e)
 {
 	return g_str_hash(e->id) % SENDER_RETRY_SHARE == 0;
 }
@@ -298,8 +322,6 @@
 	if (!vm || !send_to(e, peers_get(proxy->handoff->peers, vm)))
 		return false;
 	counter_add(COUNTER_HANDOFFS_SENT, 1);
-	if (counts_for_sender(e))
-		exchange_count_for_retry_share(e);
 	return true;
 }
 
--- a/src/handoff/handoff.h
+++ b/src/handoff/handoff.h
@@ -38,6 +38,10 @@
  */
 bool handoff_start(struct exchange *exchange);
 
+/** @return whether a request that is passed on counts for the retries of the VM
+ * that passes it on, not for those of the assigned VM. */
+bool handoff_counts_for_sender(const struct exchange *exchange);
+
 /** The VM to which a request was passed on has not responded in time. */
 void handoff_record_timeout(struct exchange *exchange);
 
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -49,6 +49,7 @@
 	bool has_id;	     /* the response bears the request's ID */
 	bool reused;
 	bool sent;
+	bool withheld;	       /* the server asked for a pause */
 	bool response_started; /* its head was read */
 	bool skipping_stale;   /* discarding a response to an earlier request */
 	bool skipped_stale;
@@ -108,6 +109,8 @@
 	evbuffer_add_buffer_reference(out, a->request->head);
 	request_headers_encode(out, remaining_ms > 1 ? (uint32_t)remaining_ms : 1,
 			       a->server->id, a->request->workspace);
+	if (a->server->is_entry_vm)
+		handoff_sends_encode(out, a->request->send_count);
 	if (body_bytes)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body_bytes);
 	else if (strcmp(a->request->method, "GET") &&
@@ -134,6 +137,14 @@
 	if (!a->server->is_entry_vm)
 		reach_watch_connected(a->proxy->reach, a->server);
 	server_update_rtt(a->server, attempt_elapsed_ms(a));
+	/* asked for since the server was selected; of the requests sent before,
+	 * only those in progress may reach it */
+	if (a->server->busy_until_ms > proxy_now_ms(a->proxy)) {
+		a->withheld = true;
+		close_connection(a);
+		finish(a, ATTEMPT_NOT_CONNECTED);
+		return;
+	}
 	send_request(a);
 }
 
@@ -181,7 +192,7 @@
 	if (a->meta.has_work_percent)
 		load_record_work_percent(&server->load, a->meta.work_percent,
 					 now_ms);
-	if (a->meta.not_run && a->status == 503 && a->meta.retry_after_ms)
+	if (is_own_response(a) && a->status == 503 && a->meta.retry_after_ms)
 		server_record_busy(server, a->meta.retry_after_ms, now_ms);
 	if (a->meta.leaving)
 		server_record_leaving(server);
@@ -408,6 +419,11 @@
 	return a->sent;
 }
 
+bool attempt_was_withheld(const struct attempt *a)
+{
+	return a->withheld;
+}
+
 int64_t attempt_elapsed_ms(const struct attempt *a)
 {
 	return proxy_now_ms(a->proxy) - a->started_ms;
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -40,6 +40,7 @@
 	struct evbuffer *head;
 	struct evbuffer *body;
 	const char *workspace; /**< name of the caller's; NULL: none */
+	uint32_t send_count;   /**< earlier sends, told to an entry VM */
 	int64_t deadline_ms;   /**< clock time; the server may stop after it */
 	/** Responses up to this size are buffered until they are complete; 0:
 	 * the default. */
@@ -57,6 +58,9 @@
 struct server *attempt_server(const struct attempt *attempt);
 /** @return whether the request was sent. */
 bool attempt_was_sent(const struct attempt *attempt);
+/** @return whether it was not sent because its server asked for a pause, which
+ * is no failure of the server. */
+bool attempt_was_withheld(const struct attempt *attempt);
 /** @return time since the attempt began, in ms. */
 int64_t attempt_elapsed_ms(const struct attempt *attempt);
 /** @return whether the attempt uses an existing connection from the pool. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -107,6 +107,8 @@
 	e->timer = evtimer_new(proxy->base, exchange_on_deadline, e);
 	e->worst_verdict = VERDICT_NOT_RUN;
 	e->handed_off = caller_is_handoff(caller);
+	if (e->handed_off)
+		e->send_count = meta.send_count;
 	proxy->exchanges_in_progress++;
 	gauge_add(GAUGE_IN_FLIGHT, 1);
 	counter_add(e->handed_off ? COUNTER_HANDOFFS_RECEIVED : COUNTER_REQUESTS,
@@ -189,11 +191,21 @@
 {
 	struct retry_share_rule rule = exchange_retry_rule(e);
 
-	if (e->counts_for_retry_share)
+	if (e->counted_for_retry_share)
 		return;
-	e->counts_for_retry_share = true;
+	e->counted_for_retry_share = true;
 	retry_share_count_request(&exchange_service_state(e)->retries, &rule,
-				  e->started_ms);
+				  proxy_now_ms(e->proxy));
+}
+
+/* Requests that are refused, and those that another VM counts or has sent
+ * before, would pay for retries beyond the fleet's budget. */
+static void count_first_send(struct exchange *e)
+{
+	if (e->send_count || !attempt_was_sent(e->attempt) ||
+	    (e->handed_off && handoff_counts_for_sender(e)))
+		return;
+	exchange_count_for_retry_share(e);
 }
 
 void exchange_process_request(struct exchange *e)
@@ -288,6 +300,11 @@
 				   proxy_now_ms(e->proxy));
 }
 
+bool exchange_acquire_retry(struct exchange *e, enum attempt_end end)
+{
+	return can_retry(e, end) && acquire_retry_budget(e, end);
+}
+
 static void record_outcome(struct exchange *e, struct server *server,
 			   enum attempt_end end)
 {
@@ -335,11 +352,14 @@
 	if (end == ATTEMPT_ANSWERED || end == ATTEMPT_REFUSED)
 		exchange_record_region_end(e, server->region,
 					   end == ATTEMPT_REFUSED);
-	exchange_record_ramp(e, server, end, attempt_elapsed_ms(a));
-	record_outcome(e, server, end);
+	if (!attempt_was_withheld(a)) {
+		exchange_record_ramp(e, server, end, attempt_elapsed_ms(a));
+		record_outcome(e, server, end);
+	}
 	if (end == ATTEMPT_ANSWERED)
 		record_response(e, server, attempt_elapsed_ms(a));
 	e->repeat_server = NULL;
+	count_first_send(e);
 	if (end == ATTEMPT_REFUSED)
 		exchange_record_own_refusal(e, server);
 	if (end != ATTEMPT_NOT_CONNECTED && end != ATTEMPT_OTHER_SERVER)
@@ -359,7 +379,7 @@
 		exchange_send_response(e);
 		return;
 	}
-	if (can_retry(e, end) && acquire_retry_budget(e, end)) {
+	if (exchange_acquire_retry(e, end)) {
 		attempt_free(a);
 		e->attempt = NULL;
 		start_attempt(e, outcome_text(end));
@@ -405,7 +425,6 @@
 		return;
 	if (handoff_start(e))
 		return;
-	exchange_count_for_retry_share(e);
 	server = exchange_select_server(e, retry_reason, &refusal);
 	if (server) {
 		exchange_send(e, server);
@@ -430,16 +449,16 @@
 		counter_add(COUNTER_RETRIES, 1);
 	e->attempt =
 		attempt_start(e->proxy, server, &e->request, &attempt_events, e);
-	if (!e->attempt)
+	if (e->attempt)
+		count_first_send(e);
+	else
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      "no-connection");
 }
 
 void exchange_place_directly(struct exchange *e, enum attempt_end end)
 {
-	/* counted first, as its share pays for the retry */
-	exchange_count_for_retry_share(e);
-	if (!can_retry(e, end) || !acquire_retry_budget(e, end)) {
+	if (!exchange_acquire_retry(e, end)) {
 		exchange_fail(e, outcome_http_status(e->worst_verdict, false),
 			      "handoff-failed");
 		return;
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -53,9 +53,9 @@
 	/* request line and headers as received; NULL: it is not passed on */
 	struct evbuffer *handoff_head;
 	struct attempt_request handoff_request;
-	bool handoff_decided;	     /* whether to pass it on */
-	bool handoff_renewed;	     /* after a kept connection was closed */
-	bool counts_for_retry_share; /* has been counted */
+	bool handoff_decided; /* whether to pass it on */
+	bool handoff_renewed; /* after a kept connection was closed */
+	bool counted_for_retry_share;
 	/* region in which it should run, interned; NULL: not chosen */
 	const char *region;
 	bool spilled_over;    /* should run in another region */
@@ -95,15 +95,22 @@
 /** Callback of an attempt: forwards what has arrived of a streamed response. */
 void exchange_forward_body(void *exchange, struct attempt *attempt);
 
-/** Counts the request, once, among those that pay for this VM's retries. */
+/** Counts the request, once, among those that pay for this VM's retries. To be
+ * called when it has been sent. */
 void exchange_count_for_retry_share(struct exchange *exchange);
 
+/**
+ * @return whether the request may be sent again after an attempt that ended like
+ * this; if so, it is counted as a retry, except after ATTEMPT_NOT_CONNECTED.
+ */
+bool exchange_acquire_retry(struct exchange *exchange, enum attempt_end end);
+
 /**
  * After a handoff failed: sends the request to a server that this VM selects,
  * or responds if it may not be sent again. May free the exchange.
  *
  * @param end how the handoff ended; ATTEMPT_NOT_CONNECTED if the request has
- * not run, which does not count as a retry.
+ * not been sent to a server, which does not count as a retry.
  */
 void exchange_place_directly(struct exchange *exchange, enum attempt_end end);
 
--- a/src/request/exchange_response.c
+++ b/src/request/exchange_response.c
@@ -102,8 +102,10 @@
 				    delay_ms / (uint32_t)MS_PER_S,
 				    delay_ms % (uint32_t)MS_PER_S);
 	if (e->handed_off && e->worst_verdict == VERDICT_NOT_RUN &&
-	    outcome_status_means_not_run(status))
+	    outcome_status_means_not_run(status)) {
 		response_refusal_encode(headers, handoff_is_declined(e));
+		handoff_sends_encode(headers, e->send_count);
+	}
 	caller_write_head(caller, status, headers, FRAMING_CONTENT_LENGTH, 0,
 			  false);
 	evbuffer_free(headers);
--- a/src/request/message_defs.h
+++ b/src/request/message_defs.h
@@ -13,6 +13,8 @@
 	uint32_t deadline_ms; /**< how long the caller waits; 0: not given */
 	const char *receiver; /**< name of the process it is meant for; NULL:
 			       * not given */
+	/** How many times an entry VM that hands it off may have sent it. */
+	uint32_t send_count;
 };
 
 struct response_meta {
@@ -25,7 +27,9 @@
 	uint32_t service_fast_ms;
 	uint32_t service_slow_ms;
 	bool declined; /**< an entry VM wants the sender to place the request */
-	bool leaving;  /**< the server reports that it will exit */
+	/** How many times an entry VM that refuses it may have sent it. */
+	uint32_t send_count;
+	bool leaving; /**< the server reports that it will exit */
 	bool encoded; /**< has a content encoding: not the server's own bytes */
 	bool has_load;
 	uint32_t running;
--- a/test/unit/handoff/handoff_peer.h
+++ b/test/unit/handoff/handoff_peer.h
@@ -169,4 +169,41 @@
 	return status;
 }
 
+/* The server of another region, without a VM to hand off to. */
+static inline struct responder *put_remote_server(void)
+{
+	struct server_entry entry = {
+		.id = (char *)"s3",
+		.service = (char *)"reg",
+		.failure_domain = (char *)"jyl-a",
+		.version = (char *)"v1",
+		.slots = 4,
+	};
+	struct responder *responder =
+		listen_anywhere(handle_backend_request, NULL, &entry.address);
+
+	servers_put(proxy.servers, &entry);
+	return responder;
+}
+
+static inline void remove_remote_server(struct responder *responder)
+{
+	struct server *s3 = servers_find(proxy.servers, "s3");
+
+	while (s3->idle)
+		pool_discard(s3->idle);
+	responder_free(responder);
+	servers_remove(proxy.servers, "s3");
+}
+
+/* Enough requests that one may go on to another region. */
+static inline void allow_other_region(void)
+{
+	struct service_state *state =
+		g_hash_table_lookup(proxy.service_states, "reg");
+
+	g_assert_nonnull(state);
+	state->region_share.routes[0].count = 1000;
+}
+
 #endif
--- a/test/unit/handoff/handoff_vm.h
+++ b/test/unit/handoff/handoff_vm.h
@@ -29,14 +29,17 @@
 static inline void handle_backend_request(void *context,
 					  struct responder_request *request)
 {
+	char *headers =
+		g_strdup_printf("Request-Id: %s\r\n%s\r\n",
+				http_head_get(request->head, "Request-Id"),
+				backend.refuses
+					? "Not-Executed: 1"
+					: "Response-Stamp: a.b\r\nFrom: server");
+
 	(void)context;
 	backend.requests++;
-	if (backend.refuses)
-		responder_reply(request, 503,
-				"Request-Id: r1\r\nNot-Executed: 1\r\n", NULL);
-	else
-		responder_reply(request, 200, SERVER_HEADERS "From: server\r\n",
-				NULL);
+	responder_reply(request, backend.refuses ? 503 : 200, headers, NULL);
+	g_free(headers);
 }
 
 static inline void put_server(const struct sockaddr_in *address)
