fix(handoff): a stopping VM closes idle connections with a refusal

**Problem**: from 2 s after SIGTERM a VM closed idle handoff connections without a word. An order that another VM had just written to one got 502, as nothing proved that it was not read; with the store away other VMs go on sending.

**Solution**: the VM stops reading from the connection, sends a 503 with `Not-Executed` and `Handoff-Declined` that answers no request, and closes it lingering; at the exit deadline also what was just opened. A request that crosses it is declined, so the first VM places it directly; on an idle connection the first VM closes its end, as after any unexpected bytes.

--- a/src/request/callers_stop.c
+++ b/src/request/callers_stop.c
@@ -1,4 +1,6 @@
 #include "net/linger.h"
+#include "net/responder.h"
+#include "platform/header_codec.h"
 #include "request/caller_internal.h"
 
 /* Callers' connections during a graceful shutdown. */
@@ -6,15 +8,35 @@
 /* During a shutdown, time for a caller that has connected to send a request. */
 #define FIRST_BYTE_TIMEOUT_MS 1000
 
-static bool is_idle(const struct caller *caller)
+static bool is_unused(const struct caller *caller)
 {
 	return !caller_first_request(caller) &&
 	       !http_stream_has_message_begun(caller->stream) &&
-	       !evbuffer_get_length(http_stream_output(caller->stream)) &&
+	       !evbuffer_get_length(http_stream_output(caller->stream));
+}
+
+static bool is_idle(const struct caller *caller)
+{
+	return is_unused(caller) &&
 	       proxy_now_ms(caller->proxy) - caller->idle_since_ms >=
 		       FIRST_BYTE_TIMEOUT_MS;
 }
 
+/* Refuses whatever is on its way on a connection from which nothing more is
+ * read. The other VM can then place it: a mere close would leave open whether
+ * the request was read. On an idle connection, it closes its end. */
+static void refuse_unread(struct caller *caller)
+{
+	struct evbuffer *out = http_stream_output(caller->stream);
+
+	evbuffer_add_printf(out, "HTTP/1.1 503 %s\r\n",
+			    responder_reason_phrase(503));
+	response_refusal_encode(out, true);
+	evbuffer_add_printf(out, "Content-Length: 0\r\n"
+				 "Connection: close\r\n\r\n");
+	http_stream_free_lingering(caller->stream);
+}
+
 static void close_callers(struct proxy *proxy, bool only_idle)
 {
 	GList *link = g_queue_peek_head_link(&proxy->callers);
@@ -25,7 +47,10 @@
 		link = link->next;
 		if (only_idle && !is_idle(caller))
 			continue;
-		http_stream_free(caller->stream);
+		if (only_idle && caller->is_handoff)
+			refuse_unread(caller);
+		else
+			http_stream_free(caller->stream);
 		caller_free(caller);
 	}
 }
@@ -63,8 +88,12 @@
 		struct caller *caller = link->data;
 
 		link = link->next;
-		if (caller_first_request(caller))
+		if (caller_first_request(caller)) {
 			end_requests(caller);
+		} else if (caller->is_handoff && is_unused(caller)) {
+			refuse_unread(caller);
+			caller_free(caller);
+		}
 	}
 }
 
--- a/test/unit/handoff/handoff_receive_test.c
+++ b/test/unit/handoff/handoff_receive_test.c
@@ -129,6 +129,32 @@
 	teardown_handoff();
 }
 
+/* An order that was written to a kept connection when this VM closed it got
+ * 502. */
+static void closed_idle_connection_refuses_what_it_has_not_read(void)
+{
+	char *response;
+	int fd;
+
+	setup_receiver(false);
+	fd = send_handoff(HANDOFF);
+	run_ms(100);
+	g_free(read_text(fd));
+	clock_manual_advance_ms(&manual, 1500);
+	callers_close_idle(&proxy);
+	g_assert_cmpint(send(fd, HANDOFF, strlen(HANDOFF), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(HANDOFF));
+	run_ms(50);
+	response = read_text(fd);
+	g_assert_cmpint(status_of(response), ==, 503);
+	g_assert_nonnull(strstr(response, "Not-Executed: 1\r\n"));
+	g_assert_nonnull(strstr(response, "Handoff-Declined: 1\r\n"));
+	g_assert_cmpuint(backend.requests, ==, 1);
+	g_free(response);
+	close(fd);
+	teardown_handoff();
+}
+
 /* The lists of the two VMs differ for a moment. */
 static void vm_that_is_not_assigned_declines(void)
 {
@@ -288,6 +314,7 @@
 	ADD_TEST("handoff", refusal_says_that_the_request_has_not_run);
 	ADD_TEST("handoff", failure_does_not_say_not_executed);
 	ADD_TEST("handoff", stopping_vm_declines);
+	ADD_TEST("handoff", closed_idle_connection_refuses_what_it_has_not_read);
 	ADD_TEST("handoff", vm_that_is_not_assigned_declines);
 	ADD_TEST("handoff", request_unknown_to_this_configuration_is_declined);
 	ADD_TEST("handoff", request_for_another_vm_gets_421);
--- a/test/unit/handoff/handoff_send_test.c
+++ b/test/unit/handoff/handoff_send_test.c
@@ -117,10 +117,17 @@
 	}
 }
 
+/* What a VM that stops sends when it closes a connection, whether or not a
+ * request is on its way. */
+#define CLOSED_UNREAD                                                   \
+	"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nHandoff-Declined: 1\r\n" \
+	"Content-Length: 0\r\nConnection: close\r\n\r\n"
+
 /* A VM that stops would otherwise have callers wait for its successor. */
 static void declined_order_is_placed_directly(void)
 {
-	static const char *const responses[] = { DECLINED, ERROR("421", "") };
+	static const char *const responses[] = { DECLINED, ERROR("421", ""),
+						 CLOSED_UNREAD };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(responses); i++) {
@@ -132,6 +139,23 @@
 	}
 }
 
+/* The response to no request must not be taken for one to the next. */
+static void connection_closed_unread_is_not_used_again(void)
+{
+	static const char *const response = SUCCESS;
+
+	setup_peer_responding(false, &response);
+	g_assert_cmpint(request_status(), ==, 200);
+	bufferevent_write(peer.connections[0], CLOSED_UNREAD,
+			  strlen(CLOSED_UNREAD));
+	run_ms(50);
+	g_assert_cmpuint(peer.closed, ==, 1);
+	g_assert_cmpint(request_status(), ==, 200);
+	g_assert_cmpuint(peer.requests, ==, 2);
+	g_assert_cmpuint(backend.requests, ==, 0);
+	teardown_peer();
+}
+
 /* Each request would pay for a connection that fails. */
 static void vm_that_refuses_connections_is_avoided(void)
 {
@@ -445,6 +469,7 @@
 	ADD_TEST("handoff", refusal_without_proof_is_not_delivered);
 	ADD_TEST("handoff", refused_order_goes_on_only_with_proof);
 	ADD_TEST("handoff", declined_order_is_placed_directly);
+	ADD_TEST("handoff", connection_closed_unread_is_not_used_again);
 	ADD_TEST("handoff", vm_that_refuses_connections_is_avoided);
 	ADD_TEST("handoff", vm_that_accepts_nothing_costs_250_ms);
 	ADD_TEST("handoff", order_that_may_have_been_sent_gets_502);
