fix(queue): a request counts once as demand

**Problem**: a request that is retried, or leaves the queue to be placed again, was counted each time as work that was asked for. The estimated wait of others rose, and more of them were refused.

**Solution**: an exchange remembers that it was counted.

--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -180,7 +180,17 @@
 		own_view_add_waiting(ahead, waiting_at(service, --position));
 }
 
-void wait_queue_record_sent(struct wait_queue *queue, const struct exchange *e,
+/* Counted again when it is retried or placed again, one request would make the
+ * wait of all others look longer. */
+static void record_admitted(struct service_queue *service, struct exchange *e,
+			    const struct wait_entry *entry, int64_t now_ms)
+{
+	if (!e->is_admitted)
+		wait_order_record_admitted(service->order, entry, now_ms);
+	e->is_admitted = true;
+}
+
+void wait_queue_record_sent(struct wait_queue *queue, struct exchange *e,
 			    uint32_t run_ms)
 {
 	struct service_queue *service =
@@ -192,7 +202,7 @@
 
 	if (!service)
 		return;
-	wait_order_record_admitted(service->order, &entry, now_ms);
+	record_admitted(service, e, &entry, now_ms);
 	/* while nothing waits, no workspace is kept from its share */
 	if (!service->waiting->len)
 		return;
@@ -257,7 +267,7 @@
 		return false;
 	if (excess != WAIT_ORDER_NONE)
 		*refused = waiting_at(service, excess);
-	wait_order_record_admitted(service->order, &entries[position], now_ms);
+	record_admitted(service, e, &entries[position], now_ms);
 	e->wait_ms = 0;
 	return true;
 }
--- a/src/queue/wait_queue.h
+++ b/src/queue/wait_queue.h
@@ -38,8 +38,8 @@
 
 /** Counts a request that is sent without waiting for the share of its
  * workspace. */
-void wait_queue_record_sent(struct wait_queue *queue,
-			    const struct exchange *exchange, uint32_t run_ms);
+void wait_queue_record_sent(struct wait_queue *queue, struct exchange *exchange,
+			    uint32_t run_ms);
 
 /** Takes an exchange out of the queue, if it waits there. */
 void wait_queue_remove(struct wait_queue *queue, struct exchange *exchange);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -74,6 +74,7 @@
 	struct server *waits_for; /* owns a reference; NULL: does not wait */
 	bool waits_for_cached;	  /* which has the object cached */
 	uint32_t waits_for_run_ms;
+	bool is_admitted; /* counts as work that was asked for in this VM */
 	bool must_leave_queue; /* refused, as too many wait */
 	uint64_t wait_sequence;
 	int64_t waiting_since_ms;
--- a/test/unit/request/exchange_own_test.c
+++ b/test/unit/request/exchange_own_test.c
@@ -1,8 +1,26 @@
+#include "decide/wait_order.h"
 #include "unit/request/own_servers.h"
 #include "workspace/keys.h"
 
 /* Requests that wait in this VM for servers that are assigned to it. */
 
+/* How often a request was counted as work that was asked for; the names are
+ * those that --wrap gives to the function. */
+static uint32_t admitted;
+
+void real_record_admitted(
+	struct wait_order *order, const struct wait_entry *entry,
+	int64_t now_ms) __asm__("__real_wait_order_record_admitted");
+void count_admitted(struct wait_order *order, const struct wait_entry *entry,
+		    int64_t now_ms) __asm__("__wrap_wait_order_record_admitted");
+
+void count_admitted(struct wait_order *order, const struct wait_entry *entry,
+		    int64_t now_ms)
+{
+	admitted++;
+	real_record_admitted(order, entry, now_ms);
+}
+
 /* Requests that queue at a server count against its memory and its queue, and
  * cannot go elsewhere any more. */
 static void server_gets_no_more_than_its_slots(void)
@@ -79,6 +97,26 @@
 	teardown_own();
 }
 
+/* Demand that is counted again with each attempt makes waits look longer than
+ * they are, and others are refused. */
+static void retried_request_counts_once_as_demand(void)
+{
+	int fds[SLOTS + 1];
+	uint32_t i;
+
+	setup_own();
+	admitted = 0;
+	send_many(fds, SLOTS + 1);
+	for (i = 0; i < SLOTS; i++)
+		answer(OWN_ANSWER, 200);
+	list_server("s3");
+	answer("Request-Id: r1\r\nNot-Executed: 1\r\n", 503);
+	g_assert_cmpuint(arrivals, ==, SLOTS + 2);
+	g_assert_cmpuint(admitted, ==, 1);
+	close_many(fds, SLOTS + 1);
+	teardown_own();
+}
+
 /* With the failure domain evacuated, or the configuration revoked, a request
  * would wait for ever. */
 static void requests_without_servers_are_answered(void)
@@ -299,6 +337,7 @@
 	ADD_TEST("exchange_own", nothing_waits_unless_enabled);
 	ADD_TEST("exchange_own", caller_that_leaves_frees_its_place);
 	ADD_TEST("exchange_own", requests_of_a_leaving_server_are_placed_again);
+	ADD_TEST("exchange_own", retried_request_counts_once_as_demand);
 	ADD_TEST("exchange_own", requests_without_servers_are_answered);
 	ADD_TEST("exchange_own", pausing_servers_do_not_hold_requests);
 	ADD_TEST("exchange_own", hopeless_requests_are_refused);
