perf(request): fewer look-ups and sorts for each request

**Problem**: each request hashed the failure domain of each server of its service, to find whether it is evacuated; searched the assigned VM of its object twice if it is this one; and sorted the queue three times if it had to wait.

**Solution**: domains are looked up only while one is evacuated; the VM found when the handoff is decided is used for the placement that follows; the third sort is left out unless the request has become late, on which alone the order depends.

The sorts were not measured.

--- a/src/handoff/handoff.c
+++ b/src/handoff/handoff.c
@@ -95,7 +95,7 @@
 }
 
 /* @return the VM that is assigned to the object; NULL if it is this one. */
-static const struct vm *find_vm(const struct exchange *e)
+static const struct vm *find_vm(struct exchange *e)
 {
 	const struct proxy *proxy = e->proxy;
 	struct assignment_query query = {
@@ -108,7 +108,8 @@
 	if (has_large_bodies(e->route) && query.region == proxy->region)
 		query.failure_domain = proxy->failure_domain;
 	vm = assignment_find_vm(proxy->assignment, &query);
-	if (!vm || !vm->has_handoff || !strcmp(vm->name, proxy->settings->name))
+	e->is_assigned_here = vm && !strcmp(vm->name, proxy->settings->name);
+	if (!vm || !vm->has_handoff || e->is_assigned_here)
 		return NULL;
 	return vm;
 }
--- a/src/queue/wait_queue.c
+++ b/src/queue/wait_queue.c
@@ -259,7 +259,10 @@
 	if (e->wait_ms > e->route->target_latency_ms)
 		return false;
 	entry.finish_ms = choice->finish_ms - choice->wait_ms + e->wait_ms;
-	position = sort_with(queue, service, &entry, &count);
+	/* the order depends on it only by whether the target is met */
+	if ((now_ms + entry.finish_ms > entry.target_ms) !=
+	    entries[position].is_late)
+		position = sort_with(queue, service, &entry, &count);
 	excess = wait_order_find_excess(entries, count, own->slots,
 					WAITING_MAX - staying + count - 1);
 	*refused = NULL;
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -53,6 +53,9 @@
 	/* request line and headers as received; NULL: it is not passed on */
 	struct evbuffer *handoff_head;
 	struct attempt_request handoff_request;
+	/* found by handoff_start() for the placement that follows at once: the
+	 * object's VM is this one */
+	bool is_assigned_here;
 	bool handoff_decided; /* whether to pass it on */
 	bool handoff_renewed; /* after a kept connection was closed */
 	bool counted_for_retry_share;
--- a/src/request/exchange_own.c
+++ b/src/request/exchange_own.c
@@ -185,7 +185,7 @@
 }
 
 /* @return whether the request is for servers that are assigned to this VM. */
-static bool belongs_to_this_vm(const struct exchange *e)
+static bool belongs_to_this_vm(struct exchange *e)
 {
 	const struct proxy *proxy = e->proxy;
 	struct assignment_query query = {
@@ -193,12 +193,16 @@
 		.region = e->region ? e->region : proxy->region,
 		.object_hash = e->object_hash,
 	};
+	const bool is_known = e->is_assigned_here;
 	const struct vm *vm;
 
+	e->is_assigned_here = false;
 	if (e->handed_off)
 		return true;
 	if (query.region != proxy->region || (!e->region && e->spilled_over))
 		return false;
+	if (is_known)
+		return true;
 	if (e->route->kind == ROUTE_UPLOAD || e->route->kind == ROUTE_DOWNLOAD)
 		query.failure_domain = proxy->failure_domain;
 	vm = assignment_find_vm(proxy->assignment, &query);
--- a/src/request/exchange_region.c
+++ b/src/request/exchange_region.c
@@ -110,8 +110,11 @@
 	const uint32_t slots = server_limits_usable_slots(server, fast_ms);
 	struct region_share_region *region;
 
+	/* for each server of the service, with each request: the name is
+	 * hashed only if anything is evacuated */
 	if (!server_is_usable(server) || server->cold_until_ms > now_ms ||
-	    g_hash_table_contains(proxy->evacuated, server->failure_domain))
+	    (g_hash_table_size(proxy->evacuated) &&
+	     g_hash_table_contains(proxy->evacuated, server->failure_domain)))
 		return;
 	if (server->region == proxy->region) {
 		regions->view.local_slots += server->load.slots;
