fix(request): a large refusal is replaced, not streamed

**Problem**: a response above the buffer (256 KB; 16 KB at the assigned VM for requests that may be repeated) was streamed even if it says that nothing ran. The VMs' own refusals have no body, but a server's may: the caller got it, though the request could run elsewhere, and an order got 502 in spite of the proof. Through an assigned VM it reached the first VM without the count of sends.

**Solution**: an error response with Not-Executed ends the attempt as a refusal when it exceeds the buffer; its body is dropped and the connection closed.

**Result**: large_refusal_is_replaced got 503, and 502 for an order, before; it passes.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -235,6 +235,16 @@
 	a->meta.server_id = NULL;
 }
 
+/* A refusal is replaced, or passed on without its body. Once streamed, it could
+ * no longer be replaced. */
+static void end_large_refusal(struct attempt *a)
+{
+	close_connection(a);
+	evbuffer_drain(a->body, evbuffer_get_length(a->body));
+	finish(a, a->status == STATUS_OTHER_SERVER ? ATTEMPT_OTHER_SERVER
+						   : ATTEMPT_REFUSED);
+}
+
 static void on_body(void *context, const uint8_t *data, size_t bytes)
 {
 	struct attempt *a = context;
@@ -249,6 +259,8 @@
 		a->events->body_ready(a->context, a);
 	} else if (evbuffer_get_length(a->body) <= bytes_max) {
 		return;
+	} else if (a->meta.not_run && a->status >= STATUS_ERROR_FIRST) {
+		end_large_refusal(a);
 	} else if (a->meta.stamped && !a->meta.encoded) {
 		a->streaming = true;
 		a->events->buffer_full(a->context, a);
--- a/test/unit/handoff/handoff_budget_test.c
+++ b/test/unit/handoff/handoff_budget_test.c
@@ -144,6 +144,27 @@
 	teardown_handoff();
 }
 
+/* It was streamed to the caller, though this VM could place the request. */
+static void large_refusal_is_replaced(void)
+{
+	char *body = g_strnfill(300000, 'x');
+	char *text = g_strconcat("HTTP/1.1 503 No\r\n" SERVER_HEADERS
+				 "Not-Executed: 1\r\nHandoff-Declined: 1\r\n"
+				 "Content-Length: 300000\r\n\r\n",
+				 body, NULL);
+	const char *const response = text;
+	int idempotent;
+
+	for (idempotent = 0; idempotent < 2; idempotent++) {
+		setup_peer_responding(idempotent, &response);
+		g_assert_cmpint(request_status(), ==, 200);
+		g_assert_cmpuint(backend.requests, ==, 1);
+		teardown_peer();
+	}
+	g_free(text);
+	g_free(body);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -152,5 +173,6 @@
 	ADD_TEST("handoff", refusal_after_a_send_needs_budget);
 	ADD_TEST("handoff", request_counts_once_for_two_vms);
 	ADD_TEST("handoff", pause_holds_back_a_request_that_connects);
+	ADD_TEST("handoff", large_refusal_is_replaced);
 	return g_test_run();
 }
