test(request): objects move once to a server that has joined

**Problem**: the rule was tested in the model and in decide/finish only, not with the objects that the VM remembers of its servers. **Solution**: eight objects that one server has cached are requested after another one is listed: with its ramp begun, those that rank first there move. **Result**: without a ramp none move; with it some, each once, and they stay. The test passes, as do the others of exchange_cached_test.

--- a/test/unit/request/exchange_cached_test.c
+++ b/test/unit/request/exchange_cached_test.c
@@ -132,6 +132,52 @@
 	teardown_own();
 }
 
+/* @return how many of eight objects go to a server. */
+static uint32_t count_objects_sent_to(const char *id)
+{
+	const struct server *target = servers_find(proxy.servers, id);
+	uint32_t count = 0;
+	char object[8];
+	int i;
+	int fd;
+
+	for (i = 0; i < 8; i++) {
+		g_snprintf(object, sizeof(object), "p%d", i);
+		fd = send_for_object(object);
+		g_assert_cmpuint(held->len, ==, 1);
+		count += target->load.own_requests;
+		answer(OWN_ANSWER, 200);
+		g_assert_cmpint(take_status(fd), ==, 200);
+	}
+	return count;
+}
+
+/* A server that joins while others have the objects cached and slots free would
+ * get none of them. */
+static void objects_move_once_to_a_server_that_has_joined(void)
+{
+	uint64_t moved = counter_get(COUNTER_OBJECTS_MOVED);
+	uint32_t taken;
+
+	setup_own();
+	proxy.config->routes[0].sticky = true;
+	proxy.config->routes[0].target_latency_ms = 2000;
+	g_assert_cmpuint(count_objects_sent_to("s2"), ==, 8);
+	set_run_times();
+	list_server("s3");
+	servers_find(proxy.servers, "s3")->ramp = (struct ramp){ 0 };
+	g_assert_cmpuint(count_objects_sent_to("s3"), ==, 0);
+	ramp_begin(&servers_find(proxy.servers, "s3")->ramp, clock_now_ms(&now),
+		   0);
+	taken = count_objects_sent_to("s3");
+	g_assert_cmpuint(taken, >, 0);
+	g_assert_cmpuint(taken, <, 8);
+	g_assert_cmpuint(counter_get(COUNTER_OBJECTS_MOVED) - moved, ==, taken);
+	g_assert_cmpuint(count_objects_sent_to("s3"), ==, taken);
+	g_assert_cmpuint(counter_get(COUNTER_OBJECTS_MOVED) - moved, ==, taken);
+	teardown_own();
+}
+
 /* The position of an object counts as it was when the request was sent; a retry
  * finds its own refused attempt there. */
 static void runs_tell_how_many_objects_are_cached(void)
@@ -189,5 +235,7 @@
 	ADD_TEST("exchange_cached", second_try_at_a_server_counts_as_a_retry);
 	ADD_TEST("exchange_cached", other_refusals_are_retried_elsewhere);
 	ADD_TEST("exchange_cached", runs_tell_how_many_objects_are_cached);
+	ADD_TEST("exchange_cached",
+		 objects_move_once_to_a_server_that_has_joined);
 	return g_test_run();
 }
