--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -105,6 +105,7 @@
 static void record_refusal(struct quota_entry *entry, int64_t now_ms)
 {
 	counter_add(COUNTER_OVER_QUOTA, 1);
+	entry->refused_count++;
 	entry->refused_ms = now_ms;
 	if (entry->refuses)
 		return;
@@ -149,6 +150,8 @@
 
 	if (wait_ms)
 		record_refusal(entry, now_ms);
+	else
+		quota_meter_add(&entry->meter, now_ms);
 	if (quota_share_is_urgent(&entry->share, now_ms))
 		quota_client_hurry(quota->client);
 	return wait_ms;
@@ -172,28 +175,6 @@
 	return wait_ms;
 }
 
-json_t *quota_encode_status(const struct quota *quota)
-{
-	json_t *limited = json_array();
-	guint i;
-
-	for (i = 0; quota && i < quota->list->len; i++) {
-		const struct quota_entry *entry =
-			g_ptr_array_index(quota->list, i);
-
-		if (entry->refuses)
-			json_array_append_new(
-				limited,
-				json_pack("{s:s,s:f,s:f}", "workspace",
-					  entry->name, "limit_per_s",
-					  entry->share.rule.rate_per_s,
-					  "fraction", entry->share.fraction));
-	}
-	return json_pack("{s:s,s:o}", "coordinator",
-			 quota ? quota_client_target(quota->client) : "",
-			 "workspaces_limited", limited);
-}
-
 void quota_serve(struct quota *quota, struct relay *relay)
 {
 	if (quota && relay)
--- a/src/quota/quota_internal.h
+++ b/src/quota/quota_internal.h
@@ -10,6 +10,13 @@
 struct quota_client;
 struct quota_coordinator;
 
+/** Requests of the interval of 5 s in progress, and of the one before. */
+struct quota_meter {
+	int64_t started_ms;
+	uint32_t count;
+	uint32_t previous;
+};
+
 /** A workspace with a rate, in the configuration in force. */
 struct quota_entry {
 	char *name;
@@ -20,6 +27,8 @@
 	bool listed;  /* while the configuration is applied */
 	bool refuses; /* refused a request a moment ago */
 	int64_t refused_ms;
+	uint64_t refused_count;	  /* since the start */
+	struct quota_meter meter; /* of requests admitted here */
 };
 
 struct quota {
@@ -39,6 +48,12 @@
 /** Ends the refusals that were some time ago. @return whether some have not. */
 bool quota_check_refusals(struct quota *quota, int64_t now_ms);
 
+/** Counts a request. */
+void quota_meter_add(struct quota_meter *meter, int64_t now_ms);
+
+/** @return the requests/s of the last 5 s, as if the interval before was even. */
+double quota_meter_per_s(struct quota_meter *meter, int64_t now_ms);
+
 /** @return what the VM knows of the others. */
 struct quota_view quota_view(const struct quota *quota);
 
--- a/test/unit/quota/quota_test.c
+++ b/test/unit/quota/quota_test.c
@@ -1,5 +1,6 @@
 #include "quota/quota.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -189,6 +190,25 @@
 	teardown();
 }
 
+/* Guards against a status page that hides how a workspace is limited. */
+static void assert_workspace_is_shown(const json_t *status)
+{
+	json_t *shown = json_array_get(json_object_get(status, "workspaces"), 0);
+	const struct vm_under_test *vm = &vms_under_test[2];
+	const double per_s = vm->admitted / 5.0;
+
+#define SHOWN(name) json_number_value(json_object_get(shown, name))
+	g_assert_cmpstr(json_string_value(json_object_get(shown, "workspace")),
+			==, LOADED_NAME);
+	g_assert_cmpfloat(SHOWN("limit_per_s"), ==, 100);
+	g_assert_cmpfloat(SHOWN("burst"), ==, 100);
+	g_assert_cmpfloat(SHOWN("refused"), ==, vm->refused);
+	g_assert_cmpfloat(fabs(SHOWN("admitted_per_s") - per_s), <, 0.2 * per_s);
+	g_assert_cmpfloat(SHOWN("fraction"), <, 0.5);
+	g_assert_cmpfloat(fabs(SHOWN("share") - 1.0 / VMS_MAX), <, 0.1);
+#undef SHOWN
+}
+
 static void vms_share_a_quota(void)
 {
 	json_t *status;
@@ -207,6 +227,7 @@
 	g_assert_cmpuint(json_array_size(
 				 json_object_get(status, "workspaces_limited")),
 			 ==, 1);
+	assert_workspace_is_shown(status);
 	json_decref(status);
 	teardown();
 }
