test(fuzz): messages between VMs and the quota coordinator

**Problem**: quota_codec reads bytes from the network and was not fuzzed. **Solution**: quota_fuzz decodes reports and replies, records the reports in a bucket and checks that what a VM would apply is in range.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 
 fuzz: ## fuzz the parsers with a fixed number of inputs (clang)
 	@CC=clang cmake -S . -B build-fuzz -DCMAKE_BUILD_TYPE=Debug -DFUZZ=ON >/dev/null
-	@cmake --build build-fuzz -j $(JOBS) --target document_fuzz wire_fuzz key_fuzz platform_fuzz head_fuzz
+	@cmake --build build-fuzz -j $(JOBS) --target document_fuzz wire_fuzz key_fuzz platform_fuzz head_fuzz quota_fuzz
 	./test/fuzz/run build-fuzz
 
 clean: ## remove build outputs
