--- a/src/quota/quota_internal.h
+++ b/src/quota/quota_internal.h
@@ -10,11 +10,12 @@
 struct quota_client;
 struct quota_coordinator;
 
-/** Requests of the interval of 5 s in progress, and of the one before. */
+#define QUOTA_METER_SECONDS 5
+
+/** Requests of the second in progress and of the four before it. */
 struct quota_meter {
-	int64_t started_ms;
-	uint32_t count;
-	uint32_t previous;
+	int64_t second;
+	uint32_t counts[QUOTA_METER_SECONDS];
 };
 
 /** A workspace with a rate, in the configuration in force. */
@@ -51,7 +52,7 @@
 /** Counts a request. */
 void quota_meter_add(struct quota_meter *meter, int64_t now_ms);
 
-/** @return the requests/s of the last 5 s, as if the interval before was even. */
+/** @return the requests/s of the last 4 to 5 s. */
 double quota_meter_per_s(struct quota_meter *meter, int64_t now_ms);
 
 /** @return what the VM knows of the others. */
--- a/src/quota/quota_status.c
+++ b/src/quota/quota_status.c
@@ -7,29 +7,31 @@
 
 static void turn_meter(struct quota_meter *meter, int64_t now_ms)
 {
-	const int64_t age_ms = now_ms - meter->started_ms;
+	const int64_t now_s = now_ms / MS_PER_S;
 
-	if (age_ms < QUOTA_WINDOW_MS)
-		return;
-	meter->previous = age_ms < 2 * QUOTA_WINDOW_MS ? meter->count : 0;
-	meter->count = 0;
-	meter->started_ms = now_ms - age_ms % QUOTA_WINDOW_MS;
+	if (now_s - meter->second > QUOTA_METER_SECONDS)
+		meter->second = now_s - QUOTA_METER_SECONDS;
+	while (meter->second < now_s)
+		meter->counts[++meter->second % QUOTA_METER_SECONDS] = 0;
 }
 
 void quota_meter_add(struct quota_meter *meter, int64_t now_ms)
 {
 	turn_meter(meter, now_ms);
-	meter->count++;
+	meter->counts[meter->second % QUOTA_METER_SECONDS]++;
 }
 
 double quota_meter_per_s(struct quota_meter *meter, int64_t now_ms)
 {
-	double left;
+	const double span_s = QUOTA_METER_SECONDS - 1 +
+			      (double)(now_ms % MS_PER_S) / (double)MS_PER_S;
+	uint32_t sum = 0;
+	size_t i;
 
 	turn_meter(meter, now_ms);
-	left = 1 - (double)(now_ms - meter->started_ms) / QUOTA_WINDOW_MS;
-	return (meter->count + left * meter->previous) * MS_PER_S /
-	       QUOTA_WINDOW_MS;
+	for (i = 0; i < QUOTA_METER_SECONDS; i++)
+		sum += meter->counts[i];
+	return sum / span_s;
 }
 
 static json_t *encode_workspace(struct quota_entry *entry, int64_t now_ms)
