test(stop): the caller of the last response reads slowly

**Problem**: waits_until_responses_have_left failed on busy machines. Its clock is moved by hand in steps of 5 ms, while a connection that nobody reads is dropped after 2 s of real time; on a busy machine these pass first.

**Solution**: the test's caller reads 64 KB each 100 ms, which keeps the connection open until the manual clock shows the exit. The checks are as before, and that the response has not left by then is checked too.

--- a/test/unit/proxy/stop_test.c
+++ b/test/unit/proxy/stop_test.c
@@ -33,6 +33,7 @@
 	struct stop *stop;
 	size_t received = 0;
 	bool ended = false;
+	uint32_t waited_ms;
 	ssize_t bytes;
 	int fd;
 
@@ -42,7 +43,15 @@
 	raise(SIGTERM);
 	g_assert_false(run_ms(3000));
 	fd = begin_closing_connection();
-	g_assert_false(run_ms(EXIT_MS - 3000));
+	/* reads now and then: without that, the connection is dropped after 2 s
+	 * of real time, which pass on a busy machine before the manual clock
+	 * shows the exit */
+	for (waited_ms = 0; waited_ms < EXIT_MS - 3000; waited_ms += 100) {
+		bytes = read(fd, chunk, sizeof(chunk));
+		received += bytes > 0 ? (size_t)bytes : 0;
+		g_assert_false(run_ms(100));
+	}
+	g_assert_cmpuint(received, <, RESPONSE_BYTES);
 	while ((bytes = read(fd, chunk, sizeof(chunk))) > 0) {
 		received += (size_t)bytes;
 		/* it may end while the last bytes are in the kernel's buffer */
