--- a/src/net/http_stream.c
+++ b/src/net/http_stream.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/head_text.h"
 #include "net/linger.h"
 #include "net/status_line.h"
 #include "net/tcp.h"
@@ -16,16 +17,6 @@
 #define READ_AHEAD_BYTES 65536
 /* Limit on a response's head; http_stream_accept() gets the one of requests. */
 #define RESPONSE_HEAD_BYTES_MAX 65536
-/* A message with more headers is rejected with HTTP_END_HEAD_TOO_LARGE. */
-#define HEADERS_MAX 128
-
-/* Offsets of one header in `text`. They become pointers only when the head is
- * complete, because the buffer may move while it grows. */
-struct header_offsets {
-	uint32_t name;
-	uint32_t value;
-};
-
 struct http_stream {
 	struct bufferevent *bev;
 	http_parser parser;
@@ -35,11 +26,7 @@
 	uint32_t head_bytes_max;
 	uint32_t head_bytes;
 	struct status_line status_line; /* responses only */
-	struct evbuffer *text; /* target, header names and values, each with a NUL */
-	uint32_t target_offset;
-	struct header_offsets offsets[HEADERS_MAX];
-	uint32_t offset_count;
-	bool in_value;
+	struct head_text text;
 	bool in_head;
 	bool message_begun;
 	bool paused;
@@ -48,35 +35,21 @@
 	bool too_large;
 	bool freed;
 	uint32_t depth; /* bufferevent callbacks on the stack */
-	struct http_header headers[HEADERS_MAX];
 	struct http_head head;
 };
 
-static uint32_t text_bytes(const struct http_stream *s)
-{
-	return (uint32_t)evbuffer_get_length(s->text);
-}
-
 static int append_text(struct http_stream *s, const char *at, size_t length)
 {
-	return s->freed || evbuffer_add(s->text, at, length);
-}
-
-static void terminate_string(struct http_stream *s)
-{
-	evbuffer_add(s->text, "", 1);
+	return s->freed || !head_text_add(&s->text, at, length);
 }
 
 static int on_begin(http_parser *parser)
 {
 	struct http_stream *s = parser->data;
 
-	evbuffer_drain(s->text, evbuffer_get_length(s->text));
-	s->offset_count = 0;
-	s->in_value = false;
+	head_text_clear(&s->text);
 	s->in_head = true;
 	s->message_begun = true;
-	s->target_offset = 0;
 	return s->freed;
 }
 
@@ -89,16 +62,9 @@
 {
 	struct http_stream *s = parser->data;
 
-	if (!s->offset_count || s->in_value) {
-		if (s->offset_count == HEADERS_MAX) {
-			s->too_large = true;
-			return 1;
-		}
-		terminate_string(s);
-		s->offsets[s->offset_count].name = text_bytes(s);
-		s->offsets[s->offset_count].value = 0;
-		s->offset_count++;
-		s->in_value = false;
+	if (!head_text_begin_name(&s->text)) {
+		s->too_large = true;
+		return 1;
 	}
 	return append_text(s, at, length);
 }
@@ -107,30 +73,18 @@
 {
 	struct http_stream *s = parser->data;
 
-	if (!s->in_value) {
-		terminate_string(s);
-		s->offsets[s->offset_count - 1].value = text_bytes(s);
-		s->in_value = true;
-	}
+	head_text_begin_value(&s->text);
 	return append_text(s, at, length);
 }
 
 static void build_head(struct http_stream *s)
 {
 	struct http_head *head = &s->head;
-	const char *text;
-	uint32_t i;
-
-	terminate_string(s);
-	text = (const char *)evbuffer_pullup(s->text, -1);
-	for (i = 0; i < s->offset_count; i++) {
-		s->headers[i].name = text + s->offsets[i].name;
-		s->headers[i].value =
-			s->offsets[i].value ? text + s->offsets[i].value : "";
-	}
+	const char *target = head_text_finish(&s->text);
+
 	memset(head, 0, sizeof(*head));
-	head->headers = s->headers;
-	head->header_count = s->offset_count;
+	head->headers = s->text.headers;
+	head->header_count = s->text.header_count;
 	head->keep_alive = http_should_keep_alive(&s->parser);
 	head->chunked = (s->parser.flags & F_CHUNKED) != 0;
 	head->content_length = (s->parser.flags & F_CONTENTLENGTH)
@@ -139,7 +93,7 @@
 	if (s->role == HTTP_ROLE_SERVER) {
 		head->method =
 			http_method_str((enum http_method)s->parser.method);
-		head->target = text + s->target_offset;
+		head->target = target;
 	} else {
 		head->status = (uint16_t)s->parser.status_code;
 		head->until_close = !s->no_body && !head->chunked &&
@@ -161,7 +115,7 @@
 		return -1;
 	/* the head may have arrived in one piece, and parse_input() counts
 	 * bytes only after the parser returns */
-	if (text_bytes(s) > s->head_bytes_max) {
+	if (head_text_bytes(&s->text) > s->head_bytes_max) {
 		s->too_large = true;
 		return -1;
 	}
@@ -231,8 +185,7 @@
 {
 	if (s->bev)
 		bufferevent_free(s->bev);
-	if (s->text)
-		evbuffer_free(s->text);
+	head_text_release(&s->text);
 	free(s);
 }
 
@@ -360,9 +313,8 @@
 	s->role = role;
 	s->events = events;
 	s->context = context;
-	s->text = evbuffer_new();
 	s->bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
-	if (!s->text || !s->bev)
+	if (!head_text_init(&s->text) || !s->bev)
 		goto fail;
 	http_parser_init(&s->parser, role == HTTP_ROLE_SERVER ? HTTP_REQUEST
 							      : HTTP_RESPONSE);
