test(build): the release build goes into the build folder

**Problem**: the script that runs the deployed build command left no folder of its name, and the runner printed an error of grep about it.

**Solution**: it builds in the tests' build folder.

**Result**: the script passes.

--- a/test/functional/release_build.sh
+++ b/test/functional/release_build.sh
@@ -2,8 +2,9 @@
 # Guards against code that builds with the options of the tests only: runs the
 # build command of deploy/system.toml, which optimizes further, in a copy.
 cd "$(dirname "$0")/../.." || exit 2
-copy=$(mktemp -d)
-trap 'rm -rf "$copy"' EXIT
+copy=$(realpath "${1:-build}")/release_build
+rm -rf "$copy"
+mkdir -p "$copy"
 command=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
 [ -n "$command" ] || {
 	echo "FAILED: deploy/system.toml has no build command"
