docs(ctl): the help of check-config names no store key

**Problem**: the help text used a name of the platform outside platform/.

**Solution**: it says what is checked.

--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -34,7 +34,7 @@
 static const struct command commands[] = {
 	{ "check", "FILE", "check a document", ctl_check, false, false, 1 },
 	{ "check-config", "FILE",
-	  "check a configuration of the platform (op/config) before it is "
+	  "check a configuration of entry VMs before it is "
 	  "sent; 1: it has errors",
 	  ctl_check_config, false, false, 1 },
 	{ "show", "", "print the document in the store", ctl_show, true, false,
