--- a/review/6/common.h
+++ b/review/6/common.h
@@ -97,7 +97,8 @@
 	return true;
 }
 
-static int listen_on(int *port)
+/* @param port 0: any. @return -1 if the port is taken. */
+static int try_listen(int *port)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET };
 	socklen_t bytes = sizeof(a);
@@ -107,21 +108,43 @@
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	a.sin_port = htons((uint16_t)*port);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (fd < 0 || bind(fd, (struct sockaddr *)&a, sizeof(a)) ||
-	    listen(fd, 511) || getsockname(fd, (struct sockaddr *)&a, &bytes)) {
+	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) || listen(fd, 511) ||
+	    getsockname(fd, (struct sockaddr *)&a, &bytes)) {
+		close(fd);
+		return -1;
+	}
+	*port = ntohs(a.sin_port);
+	return fd;
+}
+
+static int listen_on(int *port)
+{
+	int fd = try_listen(port);
+
+	if (fd < 0) {
 		perror("listen");
 		exit(2);
 	}
-	*port = ntohs(a.sin_port);
 	return fd;
 }
 
-/* A free port for a process that this one starts. */
+/* A free port for a process that this one starts: below those that the kernel
+ * gives to connections, so that none takes it meanwhile. */
 static int free_port(void)
 {
-	int port = 0;
+	static int next;
+	int port;
+	int fd;
 
-	close(listen_on(&port));
+	if (!next)
+		next = 12000 + getpid() % 16000;
+	do {
+		if (++next == 32000)
+			next = 12000;
+		port = next;
+		fd = try_listen(&port);
+	} while (fd < 0);
+	close(fd);
 	return port;
 }
 
@@ -912,22 +935,16 @@
 	return ready;
 }
 
-/* Starts all, and waits until the entry VMs are ready. */
-static bool start_deployment(const char *folder, const char *config, int work_ms)
+/* @return whether the entry VMs get ready. */
+static bool start_vms(const char *folder)
 {
-	int64_t end;
+	int64_t end = now_ms() + 12000;
 	int i;
 
-	start_listener(listen_on(&store.port), NULL);
-	start_thread(expire_leases, NULL);
-	store_put("op/config", config);
-	for (i = 0; i < SERVERS; i++)
-		start_server(i, 9, work_ms);
 	for (i = 0; i < VMS; i++) {
 		write_settings(&vms[i], i, folder);
 		start_vm(&vms[i]);
 	}
-	end = now_ms() + 15000;
 	for (i = 0; i < VMS; i++)
 		while (!is_ready(&vms[i])) {
 			if (now_ms() > end)
@@ -937,4 +954,25 @@
 	return true;
 }
 
+/* Starts all, and waits until the entry VMs are ready. */
+static bool start_deployment(const char *folder, const char *config, int work_ms)
+{
+	int tries;
+	int i;
+
+	start_listener(listen_on(&store.port), NULL);
+	start_thread(expire_leases, NULL);
+	store_put("op/config", config);
+	for (i = 0; i < SERVERS; i++)
+		start_server(i, 9, work_ms);
+	/* another process may take a free port before the entry VM does */
+	for (tries = 0; tries < 3; tries++) {
+		if (start_vms(folder))
+			return true;
+		stop_vms();
+		sleep_ms(5000); /* their registrations end */
+	}
+	return false;
+}
+
 #endif
